Add the frame of the project: build, core interfaces, design

Cause: nothing existed yet; parts developed in parallel need one set of interfaces. Conclusion: subsystems can now be implemented against the headers in src/.

--- /dev/null
+++ b/src/adapters/http/http_server.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "core/base/time.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace snipemill {
+
+struct http_server_options
+{
+    std::string ip = "127.0.0.1";
+    std::uint16_t port = 0;                    // 0: any free port
+    std::size_t max_header = 16 * 1024;        // bytes
+    std::size_t max_body = 1024 * 1024;        // bytes
+    duration header_timeout = from_ms(10'000); // to receive a whole request
+    duration idle_timeout = from_ms(60'000);   // between requests
+    std::size_t max_connections = 10'000;
+    bool reuse_port = false; // several lanes listen on one port
+};
+
+struct http_request
+{
+    std::string method;
+    std::string target; // path and query string, percent-encoded
+    std::vector<std::pair<std::string, std::string>> headers; // lower case
+    std::string body;
+
+    // Value of a header, empty when it is absent. name is in lower case.
+    std::string const& header(std::string const& name) const;
+};
+
+struct http_response
+{
+    unsigned status = 200;
+    std::string content_type = "application/json";
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::string body;
+};
+
+// Answers one request; callable once, from the server's thread.
+using http_responder = std::function<void(http_response)>;
+
+// Handles a request. The returned function, if any, is called when the caller
+// closes its connection before the response was sent.
+using http_handler =
+    std::function<std::function<void()>(http_request, http_responder)>;
+
+// HTTP/1.1 server on one io_context. Malformed, oversized and slow requests
+// are answered with a 4xx and a JSON error body, and counted. A response is
+// written whole, or the connection is closed as an error.
+class http_server
+{
+public:
+    http_server(boost::asio::io_context& io, http_server_options const& options,
+                http_handler handler);
+    ~http_server();
+    http_server(http_server const&) = delete;
+    http_server& operator=(http_server const&) = delete;
+
+    std::uint16_t port() const;
+    // Accepts no more connections; open requests are answered, then their
+    // connections are closed.
+    void drain();
+    std::size_t open_requests() const;
+    std::uint64_t bad_requests() const;
+
+private:
+    class impl;
+    std::shared_ptr<impl> impl_;
+};
+
+} // namespace snipemill
--- /dev/null
+++ b/src/app/build_info.cpp
@@ -0,0 +1,10 @@
+#include "app/build_info.hpp"
+
+namespace snipemill {
+
+std::string_view version()
+{
+    return SNIPEMILL_VERSION;
+}
+
+} // namespace snipemill
--- /dev/null
+++ b/src/core/core.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+// Public header of the core library: decisions of an entry host, free of I/O.
+
+#include "core/base/error.hpp"
+#include "core/base/hash.hpp"
+#include "core/base/name_table.hpp"
+#include "core/base/rng.hpp"
+#include "core/base/slot_map.hpp"
+#include "core/base/strong_id.hpp"
+#include "core/base/time.hpp"
+#include "core/config/config_spread.hpp"
+#include "core/config/config_store.hpp"
+#include "core/config/objects.hpp"
+#include "core/config/ticket_submission.hpp"
+#include "core/config/topology.hpp"
+#include "core/events/event_ring.hpp"
+#include "core/events/hybrid_clock.hpp"
+#include "core/membership/member_list.hpp"
+#include "core/owner/owner_engine.hpp"
+#include "core/ownership/owner_table.hpp"
+#include "core/quarantine/quarantine.hpp"
+#include "core/query/messages.hpp"
+#include "core/query/query_engine.hpp"
+#include "core/submit/messages.hpp"
+#include "core/submit/submit_engine.hpp"
--- /dev/null
+++ b/src/core/ownership/owner_table.cpp
@@ -0,0 +1,104 @@
+#include "core/ownership/owner_table.hpp"
+
+#include "core/base/hash.hpp"
+
+#include <tbb/parallel_for.h>
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace snipemill {
+
+namespace {
+
+// Hosts of one data centre, as positions in the table's host list.
+using host_list = std::vector<host_index>;
+
+struct ranked_host
+{
+    std::uint64_t score = 0;
+    host_index host = 0;
+};
+
+// Hosts by falling rendezvous score for one upstream.
+void rank_hosts(std::vector<std::uint64_t> const& host_hashes,
+                host_list const& hosts, upstream_id upstream,
+                std::vector<ranked_host>& out)
+{
+    out.clear();
+    for (auto const h : hosts) {
+        out.push_back({hash_combine(host_hashes[h], upstream.value), h});
+    }
+    auto const by_score = [](ranked_host const& a, ranked_host const& b) {
+        return a.score != b.score ? a.score > b.score : a.host < b.host;
+    };
+    std::sort(out.begin(), out.end(), by_score);
+}
+
+// The first host in rank order that is not yet taken, else the first one.
+std::optional<host_index> pick(std::vector<ranked_host> const& ranked,
+                               std::vector<host_index> const& taken)
+{
+    for (auto const& it : ranked) {
+        if (std::find(taken.begin(), taken.end(), it.host) == taken.end()) {
+            return it.host;
+        }
+    }
+    if (ranked.empty()) {
+        return std::nullopt;
+    }
+    return ranked.front().host;
+}
+
+std::optional<host_index> pick_second(std::vector<ranked_host> const& ranked,
+                                      host_index first)
+{
+    for (auto const& it : ranked) {
+        if (it.host != first) {
+            return it.host;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::shared_ptr<owner_table const>
+owner_table::compute(topology const& view, std::vector<live_host> hosts)
+{
+    auto table = std::make_shared<owner_table>();
+    std::sort(
+        hosts.begin(), hosts.end(),
+        [](live_host const& a, live_host const& b) { return a.id < b.id; });
+    table->hosts_ = std::move(hosts);
+    table->owners_.resize(view.upstreams().size());
+
+    std::vector<std::uint64_t> hashes;
+    std::unordered_map<std::string, host_list> by_data_centre;
+    for (host_index i = 0; i < table->hosts_.size(); ++i) {
+        hashes.push_back(hash_bytes(table->hosts_[i].id.value));
+        by_data_centre[table->hosts_[i].data_centre].push_back(i);
+    }
+
+    auto const assign = [&](topology_service const& service) {
+        std::vector<ranked_host> ranked;
+        std::vector<host_index> taken;
+        for (auto const index : service.upstreams) {
+            auto const& upstream = view.upstreams()[index];
+            auto const hosts_here =
+                by_data_centre.find(upstream.object.data_centre);
+            if (hosts_here == by_data_centre.end()) {
+                continue;
+            }
+            rank_hosts(hashes, hosts_here->second, upstream.object.id, ranked);
+            auto const first = pick(ranked, taken);
+            table->owners_[index] = {first, pick_second(ranked, *first)};
+            taken.push_back(*first);
+        }
+    };
+    tbb::parallel_for(std::size_t{0}, view.services().size(),
+                      [&](std::size_t i) { assign(view.services()[i]); });
+    return table;
+}
+
+} // namespace snipemill
