Wire the core and the adapters into the program

Cause: the parts had no program around them. Change: lanes, control plane, batch router, operator interface, status, metrics, settings, logging and the subcommands of the program. Conclusion: the interfaces in src/ports suffice for the whole path.

--- a/src/adapters/codec/config_json.hpp
+++ b/src/adapters/codec/config_json.hpp
@@ -27,7 +27,7 @@
 ticket_parse parse_ticket_file(std::string_view text);
 
 std::string write_ticket(ticket const& t);
-std::string write_head(config_head const& head);
+std::string write_config_head(config_head const& head);
 std::string write_snapshot(config_snapshot const& state);
 std::string write_claim(claim const& c);
 
--- /dev/null
+++ b/src/adapters/logging/logger.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "adapters/settings/host_settings.hpp"
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace snipemill {
+
+using log_fields =
+    std::initializer_list<std::pair<std::string_view, std::string_view>>;
+
+// Sets up log4cplus to write to standard error. Call once per process.
+void start_logging(log_format format);
+
+// Flushes and stops log4cplus.
+void stop_logging();
+
+// Writes one structured line: time, event and fields, as text
+// ("event key=value ...") or as one JSON object.
+void log_info(std::string_view event, log_fields fields);
+void log_error(std::string_view event, log_fields fields);
+
+} // namespace snipemill
--- /dev/null
+++ b/src/app/control_plane.cpp
@@ -0,0 +1,596 @@
+#include "app/control_plane.hpp"
+
+#include "app/core_time.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipemill {
+
+namespace {
+
+constexpr auto tick = std::chrono::milliseconds(50);
+constexpr auto seed_interval = std::chrono::seconds(10);
+// One datagram stays well below 1,400 bytes with this many records.
+constexpr std::size_t crashes_per_probe = 4;
+
+char const* const head_key = "config/head";
+char const* const state_key = "config/state";
+
+} // namespace
+
+control_plane::control_plane(host_settings const& settings, event_log& events,
+                             lane_group& lanes, std::uint64_t seed)
+    : settings_(&settings), events_(&events), lanes_(&lanes), seed_(seed),
+      work_(boost::asio::make_work_guard(io_)), timer_(io_), seed_timer_(io_),
+      platform_(io_, settings.platform,
+                [this](bool reachable) { on_platform_state(reachable); }),
+      peers_(io_, {.ip = settings.ip}), quarantine_(settings.crashes),
+      topology_(topology::build(0, {}))
+{}
+
+control_plane::~control_plane() = default;
+
+member_info control_plane::make_self(std::uint16_t peer_port,
+                                     std::uint16_t operator_port) const
+{
+    return {.id = host_id(settings_->name),
+            .data_centre = settings_->data_centre,
+            .ip = settings_->ip,
+            .peer_port = peer_port,
+            .operator_port = operator_port,
+            .incarnation = wall_us() / 1000,
+            .state = member_state::alive};
+}
+
+std::vector<member_seed> control_plane::seeds(bool local_only) const
+{
+    std::vector<member_seed> out;
+    for (auto const& it : settings_->seeds) {
+        if (!local_only || it.data_centre == settings_->data_centre) {
+            out.push_back({.ip = it.ip, .port = it.peer_port});
+        }
+    }
+    return out;
+}
+
+void control_plane::start(std::uint16_t peer_port, std::uint16_t operator_port)
+{
+    auto const self = make_self(peer_port, operator_port);
+    members_ =
+        std::make_unique<member_list>(settings_->membership, self, seed_);
+    spread_ =
+        std::make_unique<config_spread>(settings_->spread, self, seed_ + 1);
+    probes_ = std::make_unique<probe_socket>(
+        io_, settings_->ip, peer_port, core_now,
+        [this](probe_packet packet) { on_probe(std::move(packet)); });
+    members_->set_seeds(seeds(false));
+    refresh_seeds();
+    update_view();
+    with_spread([&](time_point now, spread_actions& out) {
+        spread_->start(now, seeds(true), out);
+    });
+    arm_timer();
+}
+
+template <class F>
+void control_plane::with_members(F f)
+{
+    member_actions out;
+    f(core_now(), out);
+    for (auto& it : out) {
+        std::visit([this](auto& a) { run_action(a); }, it);
+    }
+}
+
+template <class F>
+void control_plane::with_spread(F f)
+{
+    spread_actions out;
+    f(core_now(), out);
+    for (auto& it : out) {
+        std::visit([this](auto& a) { run_action(a); }, it);
+    }
+    if (reader_ != spread_->reader()) {
+        reader_ = spread_->reader();
+        events_->report(reader_ ? event_kind::reader_started
+                                : event_kind::reader_stopped,
+                        settings_->name, "");
+    }
+}
+
+void control_plane::arm_timer()
+{
+    timer_.expires_after(tick);
+    timer_.async_wait([this](boost::system::error_code ec) {
+        if (!ec) {
+            on_timer();
+        }
+    });
+}
+
+void control_plane::on_timer()
+{
+    auto const now = core_now();
+    if (members_->next_timer() <= now) {
+        with_members([&](time_point t, member_actions& out) {
+            members_->on_timer(t, out);
+        });
+    }
+    if (spread_->next_timer() <= now) {
+        with_spread([&](time_point t, spread_actions& out) {
+            spread_->on_timer(t, out);
+        });
+    }
+    quarantine_.expire(now);
+    update_view();
+    arm_timer();
+}
+
+// Membership
+
+void control_plane::on_probe(probe_packet packet)
+{
+    events_->received(packet.time);
+    auto changed = false;
+    for (auto const& it : packet.crashes) {
+        changed = quarantine_.merge(core_now(), it) || changed;
+    }
+    if (changed) {
+        crashes_changed();
+    }
+    with_members([&](time_point now, member_actions& out) {
+        members_->on_message(now, packet.message, out);
+    });
+}
+
+std::vector<crash_record> control_plane::next_crashes()
+{
+    auto const all = quarantine_.records();
+    auto const n = std::min(crashes_per_probe, all.size());
+    std::vector<crash_record> out;
+    for (std::size_t i = 0; i < n; ++i) {
+        out.push_back(all[next_crash_++ % all.size()]);
+    }
+    return out;
+}
+
+void control_plane::run_action(send_probe& a)
+{
+    probes_->send(a.ip, a.port,
+                  {.time = events_->stamp(),
+                   .message = std::move(a.message),
+                   .crashes = next_crashes()});
+}
+
+void control_plane::run_action(member_changed& a)
+{
+    events_->report(event_kind::member_changed, a.member.id.value,
+                    std::string(name_of(member_state_names, a.member.state)));
+    if (a.member.state == member_state::dead) {
+        peers_.forget(a.member.id);
+    }
+    view_stale_ = true;
+    with_spread([&](time_point now, spread_actions& out) {
+        spread_->on_members(now, members_->members(), out);
+    });
+}
+
+void control_plane::run_action(member_config& a)
+{
+    with_spread([&](time_point now, spread_actions& out) {
+        spread_->on_peer_number(now, a.member, a.number, out);
+    });
+}
+
+void control_plane::refresh_seeds()
+{
+    platform_.hosts([this](platform_result<std::vector<platform_host>> r) {
+        auto const* hosts = std::get_if<std::vector<platform_host>>(&r);
+        if (hosts == nullptr) {
+            return;
+        }
+        auto all = seeds(false);
+        for (auto const& it : *hosts) {
+            if (it.name != settings_->name && !it.leaving) {
+                all.push_back({.ip = it.ip, .port = it.peer_port});
+            }
+        }
+        members_->set_seeds(std::move(all));
+    });
+}
+
+// Configuration
+
+void control_plane::run_action(read_config& a)
+{
+    auto const have = a.have;
+    platform_.get(head_key,
+                  [this, have](platform_result<platform_object> result) {
+                      on_head(have, std::move(result));
+                  });
+}
+
+void control_plane::on_head(std::uint64_t have,
+                            platform_result<platform_object> result)
+{
+    if (auto const* ec = std::get_if<platform_error>(&result)) {
+        if (*ec == platform_error::not_found) {
+            on_read({});
+        }
+        else {
+            platform_failed();
+        }
+        return;
+    }
+    auto const& object = std::get<platform_object>(result);
+    auto head = parse_head(object.value);
+    if (!head) {
+        platform_failed();
+        return;
+    }
+    if (head->base > have) {
+        read_state(object.revision, std::move(*head));
+        return;
+    }
+    on_read({.revision = object.revision, .head = std::move(*head)});
+}
+
+void control_plane::read_state(std::uint64_t revision, config_head head)
+{
+    platform_.get(
+        state_key, [this, revision, head = std::move(head)](
+                       platform_result<platform_object> result) mutable {
+            auto const* object = std::get_if<platform_object>(&result);
+            auto state = object ? parse_snapshot(object->value) : std::nullopt;
+            if (!state) {
+                platform_failed();
+                return;
+            }
+            on_read({.revision = revision,
+                     .head = std::move(head),
+                     .state = std::move(state)});
+        });
+}
+
+void control_plane::on_read(config_read read)
+{
+    with_spread([&](time_point now, spread_actions& out) {
+        spread_->on_read(now, std::move(read), out);
+    });
+}
+
+void control_plane::platform_failed()
+{
+    with_spread([&](time_point now, spread_actions& out) {
+        spread_->on_platform_failed(now, out);
+    });
+}
+
+void control_plane::run_action(watch_config& a)
+{
+    auto const after = a.after_revision;
+    platform_.watch(head_key, after, a.timeout,
+                    [this, after](platform_result<platform_listing> result) {
+                        auto const* listing =
+                            std::get_if<platform_listing>(&result);
+                        if (listing == nullptr) {
+                            platform_failed();
+                            return;
+                        }
+                        with_spread([&](time_point now, spread_actions& out) {
+                            spread_->on_watch(now, !listing->objects.empty(),
+                                              listing->revision, out);
+                        });
+                    });
+}
+
+void control_plane::run_action(pull_config& a)
+{
+    auto const from = a.from;
+    auto const* address = member_address(from);
+    if (address == nullptr) {
+        with_spread([&](time_point now, spread_actions& out) {
+            spread_->on_pull_failed(now, from, out);
+        });
+        return;
+    }
+    config_pull_request const request{.have = a.have,
+                                      .from = host_id(settings_->name)};
+    peers_.open(*address, "/peer/config", encode(events_->stamp(), request),
+                [this, from](stream_event event) {
+                    on_pull_event(from, std::move(event));
+                });
+}
+
+void control_plane::on_pull_event(host_id const& from, stream_event event)
+{
+    if (std::holds_alternative<stream_ended>(event)) {
+        return; // the message has come before
+    }
+    auto const* message = std::get_if<std::string>(&event);
+    auto answer = message ? decode_config_push(*message) : std::nullopt;
+    if (!answer) {
+        with_spread([&](time_point now, spread_actions& out) {
+            spread_->on_pull_failed(now, from, out);
+        });
+        return;
+    }
+    events_->received(answer->time);
+    with_spread([&](time_point now, spread_actions& out) {
+        spread_->on_push(now, from, std::move(answer->message.push), out);
+    });
+}
+
+void control_plane::run_action(announce_config& a)
+{
+    auto const* address = member_address(a.to);
+    if (address == nullptr) {
+        return;
+    }
+    config_pull_request const request{.have = a.number,
+                                      .announce = a.number,
+                                      .from = host_id(settings_->name)};
+    peers_.open(*address, "/peer/config", encode(events_->stamp(), request),
+                [](stream_event) {});
+}
+
+void control_plane::run_action(config_adopted& a)
+{
+    auto const next =
+        topology::build(a.number, spread_->store().state().objects);
+    report_data_centres(*next);
+    topology_ = next;
+    members_->set_config_number(a.number);
+    events_->report(event_kind::config_adopted, std::to_string(a.number), "");
+    view_stale_ = true;
+    update_view();
+}
+
+void control_plane::report_data_centres(topology const& now)
+{
+    for (auto const& dc : now.data_centres()) {
+        auto const* before = topology_->find_data_centre(dc.name);
+        auto const was_in = before == nullptr || before->in;
+        if (was_in != dc.in) {
+            events_->report(dc.in ? event_kind::data_centre_in
+                                  : event_kind::data_centre_out,
+                            dc.name, "ticket " + std::to_string(now.number()));
+        }
+    }
+}
+
+void control_plane::run_action(config_ready& a)
+{
+    if (a.ready == ready_) {
+        return;
+    }
+    ready_ = a.ready;
+    events_->report(a.ready ? event_kind::host_ready
+                            : event_kind::host_not_ready,
+                    settings_->name, "");
+}
+
+void control_plane::on_platform_state(bool reachable)
+{
+    events_->report(reachable ? event_kind::platform_found
+                              : event_kind::platform_lost,
+                    settings_->name, "");
+}
+
+// Requests of other hosts, passed on by the lanes
+
+void control_plane::peer_request(std::string path, std::string message,
+                                 std::function<void(std::string)> answer)
+{
+    boost::asio::post(io_, [this, path = std::move(path),
+                            message = std::move(message),
+                            answer = std::move(answer)] {
+        if (path == "/peer/config") {
+            answer(serve_config(message));
+            return;
+        }
+        if (path == "/peer/handover") {
+            serve_handover(message);
+        }
+        answer("");
+    });
+}
+
+std::string control_plane::serve_config(std::string const& message)
+{
+    auto const request = decode_config_pull(message);
+    if (!request) {
+        return "";
+    }
+    events_->received(request->time);
+    auto const& m = request->message;
+    if (m.announce > 0) {
+        with_spread([&](time_point now, spread_actions& out) {
+            spread_->on_peer_number(now, m.from, m.announce, out);
+        });
+    }
+    config_push_answer answer{.push = spread_->store().since(m.have),
+                              .number = spread_->store().number(),
+                              .members = {}};
+    for (auto& it : members_->members()) {
+        if (it.data_centre == settings_->data_centre) {
+            answer.members.push_back(std::move(it));
+        }
+    }
+    return encode(events_->stamp(), answer);
+}
+
+void control_plane::serve_handover(std::string const& message)
+{
+    auto const handover = decode_handover(message);
+    if (!handover) {
+        return;
+    }
+    events_->received(handover->time);
+    lanes_->handover(handover->message.upstreams);
+}
+
+peer_address const* control_plane::member_address(host_id const& id)
+{
+    for (auto const& it : members_->members()) {
+        if (it.id == id) {
+            address_buffer_ = {.id = it.id, .ip = it.ip, .port = it.peer_port};
+            return &address_buffer_;
+        }
+    }
+    return nullptr;
+}
+
+// Ownership
+
+std::vector<live_host> control_plane::live_hosts() const
+{
+    std::vector<live_host> out;
+    auto const add = [&](member_info const& it) {
+        out.push_back({.id = it.id,
+                       .data_centre = it.data_centre,
+                       .ip = it.ip,
+                       .peer_port = it.peer_port});
+    };
+    auto alone = true;
+    for (auto const& it : members_->members()) {
+        if (it.state == member_state::alive ||
+            it.state == member_state::suspect) {
+            add(it);
+            alone = alone && it.data_centre != settings_->data_centre;
+        }
+    }
+    // The last host of a data centre keeps its upstreams while it leaves:
+    // nobody else can finish the requests that it has accepted.
+    if (!leaving_ || alone) {
+        add(members_->self());
+    }
+    return out;
+}
+
+void control_plane::update_view()
+{
+    if (!view_stale_) {
+        return;
+    }
+    view_stale_ = false;
+    auto hosts = live_hosts();
+    std::sort(
+        hosts.begin(), hosts.end(),
+        [](live_host const& a, live_host const& b) { return a.id < b.id; });
+    if (view_ && view_->config == topology_ &&
+        view_->owners->hosts() == hosts) {
+        return;
+    }
+    auto view = std::make_shared<routing_view>();
+    view->sequence = ++view_sequence_;
+    view->self = host_id(settings_->name);
+    view->config = topology_;
+    view->owners = owner_table::compute(*topology_, std::move(hosts));
+    view_ = view;
+    lanes_->publish(view_);
+}
+
+void control_plane::leave(std::vector<upstream_gauge> const& gauges)
+{
+    leaving_ = true;
+    view_stale_ = true;
+    with_members([&](time_point now, member_actions& out) {
+        members_->leave(now, out);
+    });
+    update_view();
+
+    // The new owners take over the limits that the upstreams have earned.
+    std::vector<std::vector<upstream_gauge>> by_host(
+        view_->owners->hosts().size());
+    for (auto const& gauge : gauges) {
+        auto const& config = *view_->config;
+        auto const* upstream = config.find_upstream(gauge.upstream);
+        if (upstream == nullptr) {
+            continue;
+        }
+        auto const index =
+            static_cast<topology_index>(upstream - config.upstreams().data());
+        if (auto const first = view_->owners->owners(index).first) {
+            by_host[*first].push_back(gauge);
+        }
+    }
+    for (host_index i = 0; i < by_host.size(); ++i) {
+        if (by_host[i].empty()) {
+            continue;
+        }
+        auto const& host = view_->owners->hosts()[i];
+        handover_message const message{.from = view_->self,
+                                       .upstreams = by_host[i]};
+        peers_.open({.id = host.id, .ip = host.ip, .port = host.peer_port},
+                    "/peer/handover", encode(events_->stamp(), message),
+                    [](stream_event) {});
+    }
+}
+
+// Claims and crashes
+
+void control_plane::put_claim(std::string key, std::string value,
+                              std::uint64_t if_version,
+                              platform_callback<platform_object> f)
+{
+    boost::asio::post(io_,
+                      [this, key = std::move(key), value = std::move(value),
+                       if_version, f = std::move(f)]() mutable {
+                          platform_.put(std::move(key), std::move(value),
+                                        if_version, std::move(f));
+                      });
+}
+
+void control_plane::get_claim(std::string key,
+                              platform_callback<platform_object> f)
+{
+    boost::asio::post(io_,
+                      [this, key = std::move(key), f = std::move(f)]() mutable {
+                          platform_.get(std::move(key), std::move(f));
+                      });
+}
+
+void control_plane::report_crash(fingerprint print, upstream_id upstream)
+{
+    boost::asio::post(io_, [this, print, upstream] {
+        if (quarantine_.on_crash(core_now(), print, upstream)) {
+            events_->report(event_kind::request_quarantined,
+                            std::to_string(print.value), "");
+        }
+        crashes_changed();
+    });
+}
+
+void control_plane::crashes_changed()
+{
+    lanes_->publish(quarantine_.refused_prints(core_now()));
+}
+
+// Status
+
+bool control_plane::ready() const
+{
+    return ready_ && !leaving_ && spread_->store().number() > 0;
+}
+
+control_status control_plane::status() const
+{
+    return {.ready = ready(),
+            .draining = leaving_,
+            .reader = reader_,
+            .platform_reachable = platform_.reachable(),
+            .config_number = spread_->store().number(),
+            .config_age = core_now() - spread_->confirmed_at(),
+            .members = members_->members(),
+            .crashes = quarantine_.records(),
+            .membership = members_->counters(),
+            .platform = platform_.counters(),
+            .peer = peers_.counters(),
+            .probe_bytes_sent = probes_->bytes_sent(),
+            .probe_bytes_received = probes_->bytes_received(),
+            .view = view_};
+}
+
+} // namespace snipemill
--- /dev/null
+++ b/src/cli/fleet.hpp
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "cli/arguments.hpp"
+#include "cli/http_call.hpp"
+
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snipemill::cli {
+
+// A host as another host knows it, with its own status when it answered.
+struct fleet_host
+{
+    std::string name;
+    std::string data_centre;
+    endpoint operator_endpoint;
+    std::string member_state; // as the asked host knows it
+    std::optional<boost::json::object> status;
+};
+
+// Asks one host for the members of the fleet and then each of them for its
+// status. No value when the first host does not answer; the reason has then
+// been printed.
+std::optional<std::vector<fleet_host>> fetch_fleet(endpoint const& first);
+
+// Parses a response body as a JSON object.
+std::optional<boost::json::object> parse_object(http_result const& result);
+
+} // namespace snipemill::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,14 +1,62 @@
-#include "app/build_info.hpp"
+#include "cli/commands.hpp"
 
+#include <array>
 #include <iostream>
 #include <string_view>
 
+namespace {
+
+using namespace snipemill::cli;
+
+struct command
+{
+    std::string_view name;
+    int (*run)(int argc, char** argv);
+    std::string_view summary;
+};
+
+constexpr std::array<command, 9> commands{{
+    {"serve", run_serve, "run an entry host"},
+    {"check-config", run_check_config, "check a settings file"},
+    {"query", run_query, "send a query to an entry host"},
+    {"submit", run_submit, "send a request that may not be repeated"},
+    {"status", run_status, "show the state of the fleet"},
+    {"ticket", run_ticket, "submit and inspect change tickets"},
+    {"timeline", run_timeline, "show the events of all hosts in order"},
+    {"crashes", run_crashes, "list and edit refused fingerprints"},
+    {"version", run_version, "print the version"},
+}};
+
+void print_usage(std::ostream& out)
+{
+    out << "usage: snipemill COMMAND [OPTIONS]\n\ncommands:\n";
+    for (auto const& it : commands) {
+        out << "  " << it.name
+            << std::string_view("                ", 16 - it.name.size())
+            << it.summary << '\n';
+    }
+    out << "\nsnipemill COMMAND --help describes the options of a command.\n";
+}
+
+} // namespace
+
 int main(int argc, char** argv)
 {
-    if (argc == 2 && std::string_view(argv[1]) == "version") {
-        std::cout << "snipemill " << snipemill::version() << '\n';
-        return 0;
+    if (argc < 2) {
+        print_usage(std::cerr);
+        return exit_usage;
+    }
+    std::string_view const name = argv[1];
+    if (name == "--help" || name == "-h" || name == "help") {
+        print_usage(std::cout);
+        return exit_ok;
+    }
+    for (auto const& it : commands) {
+        if (it.name == name) {
+            return it.run(argc - 1, argv + 1);
+        }
     }
-    std::cerr << "usage: snipemill version\n";
-    return 2;
+    std::cerr << "snipemill: unknown command '" << name << "'\n";
+    print_usage(std::cerr);
+    return exit_usage;
 }
--- /dev/null
+++ b/src/cli/ticket.cpp
@@ -0,0 +1,384 @@
+#include "cli/arguments.hpp"
+#include "cli/commands.hpp"
+#include "cli/fleet.hpp"
+#include "cli/platform_access.hpp"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <charconv>
+#include <chrono>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <map>
+#include <random>
+#include <sstream>
+#include <string>
+#include <thread>
+
+namespace snipemill::cli {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr auto wait_interval = std::chrono::milliseconds(100);
+
+std::string make_nonce()
+{
+    std::random_device device;
+    std::ostringstream out;
+    out << std::hex << device() << device() << device();
+    return out.str();
+}
+
+std::optional<ticket> read_ticket(std::string const& file)
+{
+    std::ifstream in(file, std::ios::binary);
+    if (!in) {
+        std::cerr << file << ":0: the file cannot be read\n";
+        return std::nullopt;
+    }
+    std::ostringstream text;
+    text << in.rdbuf();
+    auto parsed = parse_ticket_file(text.str());
+    if (auto const* faults = std::get_if<std::vector<parse_fault>>(&parsed)) {
+        for (auto const& it : *faults) {
+            std::cerr << file << ':' << it.line << ": " << it.reason << '\n';
+        }
+        return std::nullopt;
+    }
+    return std::move(std::get<ticket>(parsed));
+}
+
+struct submission_printer
+{
+    output_format format;
+
+    int operator()(ticket_accepted const& r) const
+    {
+        if (format == output_format::json) {
+            std::cout << "{\"result\":\"accepted\",\"number\":" << r.number
+                      << "}\n";
+        }
+        else {
+            std::cout << "ticket " << r.number << " is accepted\n";
+        }
+        return exit_ok;
+    }
+    int operator()(ticket_conflict const& r) const
+    {
+        if (format == output_format::json) {
+            std::cout << json::serialize(
+                             json::object{{"result", "conflict"},
+                                          {"number", r.number},
+                                          {"winner", r.winner.author},
+                                          {"reason", r.winner.reason}})
+                      << '\n';
+        }
+        else {
+            std::cerr << "ticket " << r.number << " is already taken by "
+                      << r.winner.author << ": " << r.winner.reason << '\n';
+        }
+        return exit_conflict;
+    }
+    int operator()(ticket_invalid const& r) const
+    {
+        for (auto const& it : r.faults) {
+            std::cerr << it.object << ": " << it.reason << '\n';
+        }
+        return exit_usage;
+    }
+    int operator()(ticket_unavailable const& r) const
+    {
+        std::cerr << "snipemill: the platform cannot be reached; the ticket "
+                  << (r.unknown ? "may have been accepted: submit the same "
+                                  "file again, its nonce makes that safe"
+                                : "has not been accepted")
+                  << '\n';
+        return exit_unavailable;
+    }
+};
+
+int submit(platform_access& platform, std::string const& file,
+           std::string const& nonce, output_format format)
+{
+    auto change = read_ticket(file);
+    if (!change) {
+        return exit_usage;
+    }
+    if (!nonce.empty()) {
+        change->nonce = nonce;
+    }
+    if (change->nonce.empty()) {
+        change->nonce = make_nonce();
+    }
+    auto const result = submit_ticket(platform, std::move(*change));
+    return std::visit(submission_printer{format}, result);
+}
+
+void print_summary(ticket_summary const& it)
+{
+    std::cout << std::left << std::setw(8) << it.number << std::setw(20)
+              << it.author << it.reason << '\n';
+}
+
+int list(platform_access& platform)
+{
+    auto const read = platform.read();
+    if (!read) {
+        std::cerr << "snipemill: the platform cannot be read\n";
+        return exit_unavailable;
+    }
+    for (auto const& it : current_config(*read).history) {
+        print_summary(it);
+    }
+    return exit_ok;
+}
+
+int show(platform_access& platform, std::uint64_t number)
+{
+    auto const read = platform.read();
+    if (!read) {
+        std::cerr << "snipemill: the platform cannot be read\n";
+        return exit_unavailable;
+    }
+    for (auto const& it : read->head.tickets) {
+        if (it.number == number) {
+            std::cout << write_ticket(it) << '\n';
+            return exit_ok;
+        }
+    }
+    for (auto const& it : current_config(*read).history) {
+        if (it.number == number) {
+            print_summary(it);
+            std::cout << "its objects are part of the whole state\n";
+            return exit_ok;
+        }
+    }
+    std::cerr << "snipemill: there is no ticket " << number << '\n';
+    return exit_failed;
+}
+
+// Objects that a ticket file would add, change or remove.
+int diff(platform_access& platform, std::string const& file)
+{
+    auto const change = read_ticket(file);
+    auto const read = platform.read();
+    if (!change || !read) {
+        return change ? exit_unavailable : exit_usage;
+    }
+    auto const state = current_config(*read);
+    for (auto const& it : change->objects) {
+        auto const key = object_key(it);
+        auto const old = state.objects.find(key);
+        if (std::holds_alternative<removed_object>(it)) {
+            std::cout << "- " << key << '\n';
+        }
+        else if (old == state.objects.end()) {
+            std::cout << "+ " << key << '\n';
+        }
+        else if (old->second != it) {
+            std::cout << "~ " << key << '\n';
+        }
+    }
+    return exit_ok;
+}
+
+struct spread_count
+{
+    std::size_t in_force = 0;
+    std::size_t behind = 0;
+    std::size_t unreachable = 0;
+};
+
+std::uint64_t number_of(fleet_host const& host)
+{
+    return host.status->at("config")
+        .as_object()
+        .at("number")
+        .to_number<std::uint64_t>();
+}
+
+std::map<std::string, spread_count>
+count_spread(std::vector<fleet_host> const& fleet, std::uint64_t number)
+{
+    std::map<std::string, spread_count> out;
+    for (auto const& it : fleet) {
+        auto& count = out[it.data_centre];
+        if (!it.status) {
+            ++count.unreachable;
+        }
+        else if (number_of(it) >= number) {
+            ++count.in_force;
+        }
+        else {
+            ++count.behind;
+        }
+    }
+    return out;
+}
+
+void print_spread(std::vector<fleet_host> const& fleet, std::uint64_t number)
+{
+    for (auto const& [name, count] : count_spread(fleet, number)) {
+        std::cout << "data centre " << std::left << std::setw(20) << name
+                  << count.in_force << " in force, " << count.behind
+                  << " behind, " << count.unreachable << " unreachable\n";
+    }
+    for (auto const& it : fleet) {
+        if (!it.status) {
+            std::cout << "  " << it.name << " is unreachable ("
+                      << it.member_state << ")\n";
+        }
+        else if (number_of(it) < number) {
+            std::cout << "  " << it.name << " has ticket " << number_of(it)
+                      << ", confirmed "
+                      << it.status->at("config").as_object().at("age_ms")
+                      << " ms ago\n";
+        }
+    }
+}
+
+int status(endpoint const& host, std::uint64_t number)
+{
+    auto const fleet = fetch_fleet(host);
+    if (!fleet) {
+        return exit_unavailable;
+    }
+    print_spread(*fleet, number);
+    return exit_ok;
+}
+
+bool in_force_everywhere(std::vector<fleet_host> const& fleet,
+                         std::uint64_t number)
+{
+    for (auto const& [name, count] : count_spread(fleet, number)) {
+        if (count.behind > 0 || count.unreachable > 0) {
+            return false;
+        }
+    }
+    return true;
+}
+
+int wait(endpoint const& host, std::uint64_t number,
+         std::chrono::milliseconds limit)
+{
+    auto const start = std::chrono::steady_clock::now();
+    for (;;) {
+        auto const fleet = fetch_fleet(host);
+        if (!fleet) {
+            return exit_unavailable;
+        }
+        auto const took = std::chrono::steady_clock::now() - start;
+        if (in_force_everywhere(*fleet, number)) {
+            std::cout << "ticket " << number << " is in force on "
+                      << fleet->size() << " hosts\n";
+            return exit_ok;
+        }
+        if (took > limit) {
+            print_spread(*fleet, number);
+            return exit_not_in_force;
+        }
+        std::this_thread::sleep_for(wait_interval);
+    }
+}
+
+int usage()
+{
+    std::cerr << "snipemill: usage: ticket submit FILE | show N | list | "
+                 "status N | diff FILE | wait N\n"
+                 "  submit, show, list and diff need --platform IP:PORT\n"
+                 "  status and wait need --host IP:PORT\n";
+    return exit_usage;
+}
+
+std::optional<std::uint64_t> parse_number(std::string const& text)
+{
+    std::uint64_t n = 0;
+    auto const* last = text.data() + text.size();
+    auto const result = std::from_chars(text.data(), last, n);
+    if (result.ec != std::errc() || result.ptr != last) {
+        return std::nullopt;
+    }
+    return n;
+}
+
+int run_on_platform(cxxopts::ParseResult const& args, std::string const& action,
+                    std::string const& argument, output_format format)
+{
+    auto const platform = endpoint_of(args, "platform");
+    if (!platform) {
+        return exit_usage;
+    }
+    platform_access access(*platform);
+    if (action == "submit" && !argument.empty()) {
+        return submit(access, argument, args["nonce"].as<std::string>(),
+                      format);
+    }
+    if (action == "diff" && !argument.empty()) {
+        return diff(access, argument);
+    }
+    if (action == "list") {
+        return list(access);
+    }
+    auto const number = parse_number(argument);
+    return number ? show(access, *number) : usage();
+}
+
+} // namespace
+
+int run_ticket(int argc, char** argv)
+{
+    cxxopts::Options options("snipemill ticket",
+                             "Submits and inspects change tickets.");
+    options.add_options()("action", "submit, show, list, status, diff or wait",
+                          cxxopts::value<std::string>()->default_value(""))(
+        "argument", "a ticket file or number",
+        cxxopts::value<std::string>()->default_value(""))(
+        "platform", "endpoint of the platform, IP:PORT",
+        cxxopts::value<std::string>())("host",
+                                       "operator endpoint of any host, IP:PORT",
+                                       cxxopts::value<std::string>())(
+        "nonce", "submits again with the nonce of an earlier try",
+        cxxopts::value<std::string>()->default_value(""))(
+        "timeout-ms", "limit of wait",
+        cxxopts::value<std::uint32_t>()->default_value("10000"));
+    options.parse_positional({"action", "argument"});
+    options.positional_help(
+        "submit FILE | show N | list | status N | diff FILE | wait N");
+    add_common_options(options);
+    auto const parsed = parse_arguments(options, argc, argv);
+    if (auto const* code = std::get_if<int>(&parsed)) {
+        return *code;
+    }
+    auto const& args = std::get<cxxopts::ParseResult>(parsed);
+    auto const format = output_of(args);
+    if (!format) {
+        return exit_usage;
+    }
+    auto const action = args["action"].as<std::string>();
+    auto const argument = args["argument"].as<std::string>();
+    if (action == "submit" || action == "diff" || action == "list" ||
+        action == "show") {
+        return run_on_platform(args, action, argument, *format);
+    }
+    auto const number = parse_number(argument);
+    auto const host = endpoint_of(args, "host");
+    if (!number || !host) {
+        return usage();
+    }
+    if (action == "status") {
+        return status(*host, *number);
+    }
+    if (action == "wait") {
+        std::chrono::milliseconds const limit(
+            args["timeout-ms"].as<std::uint32_t>());
+        return wait(*host, *number, limit);
+    }
+    return usage();
+}
+
+} // namespace snipemill::cli
