Add the owner engine

Cause: nothing controlled the work that owners send to upstreams.

Change: owner_engine as small classes. upstream_limiter and upstream_latency decide when an upstream may be sent the next request, deadline_queue holds what waits, owner_batch and record_merger merge the answers of a batch into parts, upstream_health turns answers and failures into limiter state, upstream_dispatcher connects them, and the engine gains and loses upstreams with each view. The second owner takes retries, one at a time, so that a lost owner's upstreams stay reachable until the member list has noticed.

Conclusion: the engine can be wired in.

--- /dev/null
+++ b/src/core/owner/owned_upstream.cpp
@@ -0,0 +1,121 @@
+#include "core/owner/owned_upstream.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipemill {
+
+owned_upstream::owned_upstream(owner_engine_settings const& settings,
+                               upstream_listing listed,
+                               timer_id timer_of_upstream)
+    : listing(std::move(listed)), limiter(settings, listing.slots),
+      queue(settings.max_queue), timer(timer_of_upstream)
+{}
+
+std::optional<limiter_state> owned_upstream::closed_state() const
+{
+    if (!listing.data_centre_in) {
+        return limiter_state::out;
+    }
+    if (draining || listing.object.state == upstream_state::leaving) {
+        return limiter_state::leaving;
+    }
+    return std::nullopt;
+}
+
+upstream_condition owned_upstream::condition() const
+{
+    switch (limiter.state()) {
+    case limiter_state::cold:
+        return upstream_condition::cold;
+    case limiter_state::leaving:
+        return upstream_condition::leaving;
+    case limiter_state::out:
+        return upstream_condition::out;
+    case limiter_state::warming:
+        return queue.empty() ? upstream_condition::warming
+                             : upstream_condition::saturated;
+    case limiter_state::warm:
+        return queue.empty() ? upstream_condition::warm
+                             : upstream_condition::saturated;
+    }
+    return upstream_condition::unknown;
+}
+
+upstream_gauge owned_upstream::gauge() const
+{
+    return {.upstream = id(),
+            .condition = condition(),
+            .limit = limiter.limit(),
+            .in_flight = in_flight,
+            .queued = static_cast<std::uint32_t>(queue.size()),
+            .latency_quantile = limiter.latency_quantile()};
+}
+
+void owned_upstream::on_dispatched()
+{
+    ++in_flight;
+    peak_ = std::max(peak_, in_flight);
+}
+
+void owned_upstream::on_polled(time_point now)
+{
+    last_poll_ = now;
+    last_peak_ = std::exchange(peak_, in_flight);
+}
+
+std::uint32_t owned_upstream::excess_load(std::uint32_t reported) const
+{
+    auto const own = std::max(peak_, last_peak_);
+    return std::max(reported, own) - own;
+}
+
+void owned_upstream::set_draining(time_point now)
+{
+    draining = true;
+    draining_since_ = now;
+}
+
+bool owned_upstream::report_is_newer_than_mark() const
+{
+    return last_poll_ && *last_poll_ >= draining_since_;
+}
+
+void owned_upstream::set_held(std::vector<held_version> versions)
+{
+    held = std::move(versions);
+    held_known = true;
+    list_held_versions();
+}
+
+void owned_upstream::keep_held(std::vector<index_version> const& versions)
+{
+    std::erase_if(held, [&](held_version const& it) {
+        return std::find(versions.begin(), versions.end(), it.version) ==
+               versions.end();
+    });
+    held_versions = versions;
+}
+
+void owned_upstream::note_answer(sub_answer const& answer)
+{
+    auto const it =
+        std::find(held_versions.begin(), held_versions.end(), answer.version);
+    if (it != held_versions.end()) {
+        return;
+    }
+    held.push_back({.version = answer.version,
+                    .partition_count = answer.partition_count,
+                    .partitions = answer.partitions});
+    held_versions.push_back(answer.version);
+}
+
+void owned_upstream::list_held_versions()
+{
+    held_versions.clear();
+    for (auto const& it : held) {
+        held_versions.push_back(it.version);
+    }
+}
+
+} // namespace snipemill
