--- a/src/core/quarantine/quarantine.hpp
+++ b/src/core/quarantine/quarantine.hpp
@@ -53,6 +53,7 @@
 
 private:
     std::vector<crash_record>::iterator lower_bound(fingerprint print);
+    void drop_least();
 
     quarantine_settings settings_;
     std::vector<crash_record> records_; // ascending by fingerprint
