--- a/src/core/config/config_spread.hpp
+++ b/src/core/config/config_spread.hpp
@@ -97,6 +97,10 @@
     // A peer has this ticket number in force.
     void on_peer_number(time_point now, host_id const& peer,
                         std::uint64_t number, spread_actions& out);
+    // A peer announced its number of its own accord. Readers do so to the
+    // hosts next in rank while the platform confirms their configuration.
+    void on_announced(time_point now, host_id const& peer, std::uint64_t number,
+                      spread_actions& out);
     void on_push(time_point now, host_id const& from, config_push push,
                  spread_actions& out);
     void on_pull_failed(time_point now, host_id const& from,
@@ -108,6 +112,10 @@
                   spread_actions& out);
     void on_timer(time_point now, spread_actions& out);
 
+    // What to answer to a pull; no value while this host is not ready, because
+    // its answer must not count for another starting host.
+    std::optional<config_push> answer(std::uint64_t have) const;
+
     time_point next_timer() const;
     config_store const& store() const;
     bool ready() const;
