Add the HTTP server and client

The program needs an HTTP/1.1 server for callers and operators and a client with kept connections for the platform and upstreams.

The server feeds Beast's parser from a read that is always pending, so a disconnect is noticed while a handler works and pipelined data stays in the buffer. The client writes the first bytes without waiting, so it knows whether any byte of a request left.

--- /dev/null
+++ b/src/adapters/http/client_connection.cpp
@@ -0,0 +1,304 @@
+#include "adapters/http/client_connection.hpp"
+
+#include <boost/asio/error.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include <cassert>
+#include <utility>
+
+namespace snipemill {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::uint32_t max_answer_header = 64 * 1024;
+
+} // namespace
+
+std::string write_http_request(http_request const& request,
+                               std::string const& host)
+{
+    std::string out;
+    out.reserve(request.body.size() + request.target.size() + 256);
+    out.append(request.method).append(" ").append(request.target);
+    out.append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n");
+    for (auto const& [name, value] : request.headers) {
+        out.append(name).append(": ").append(value).append("\r\n");
+    }
+    bool const bodyless = request.method == "GET" || request.method == "HEAD";
+    if (!request.body.empty() || !bodyless) {
+        out += "Content-Length: " + std::to_string(request.body.size());
+        out += "\r\n";
+    }
+    out += "\r\n";
+    out += request.body;
+    return out;
+}
+
+client_connection::client_connection(asio::io_context& io, std::size_t max_body)
+    : io_(io), socket_(io), timer_(io), max_body_(max_body)
+{}
+
+void client_connection::connect(tcp::endpoint const& to, duration timeout,
+                                std::function<void(bool)> f)
+{
+    on_connect_ = std::move(f);
+    timer_.expires_after(timeout);
+    timer_.async_wait(
+        [self = shared_from_this()](boost::system::error_code ec) {
+            if (!ec && self->state_ == state::connecting) {
+                self->close();
+            }
+        });
+    socket_.async_connect(
+        to, [self = shared_from_this()](boost::system::error_code ec) {
+            self->on_connected(ec);
+        });
+}
+
+void client_connection::on_connected(boost::system::error_code ec)
+{
+    timer_.cancel();
+    auto const f = std::exchange(on_connect_, nullptr);
+    if (state_ == state::closed) {
+        ec = asio::error::operation_aborted;
+    }
+    if (!ec) {
+        socket_.set_option(tcp::no_delay(true), ec);
+    }
+    if (!ec) {
+        socket_.non_blocking(true, ec);
+    }
+    if (ec) {
+        shut();
+    }
+    else {
+        state_ = state::idle;
+        read();
+    }
+    if (f) {
+        f(!ec);
+    }
+}
+
+bool client_connection::usable()
+{
+    if (state_ != state::idle) {
+        return false;
+    }
+    char byte = 0;
+    boost::system::error_code ec;
+    socket_.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    // Bytes that nobody asked for make the next answer ambiguous.
+    return ec == asio::error::would_block || ec == asio::error::try_again;
+}
+
+void client_connection::begin_parser()
+{
+    parser_.emplace();
+    parser_->eager(true);
+    parser_->header_limit(max_answer_header);
+    parser_->body_limit(max_body_);
+    parser_->skip(head_);
+}
+
+void client_connection::exchange(std::string request, bool head,
+                                 std::function<void(exchange_result)> f)
+{
+    assert(state_ == state::idle);
+    state_ = state::busy;
+    head_ = head;
+    sent_ = false;
+    answer_started_ = false;
+    request_ = std::move(request);
+    on_result_ = std::move(f);
+    begin_parser();
+    write_first();
+}
+
+// The first write does not wait, so that it is known whether a byte left.
+void client_connection::write_first()
+{
+    boost::system::error_code ec;
+    auto const n = socket_.write_some(asio::buffer(request_), ec);
+    if (ec && ec != asio::error::would_block && ec != asio::error::try_again) {
+        asio::post(io_, [self = shared_from_this()] {
+            self->fail(exchange_fault::closed);
+        });
+        return;
+    }
+    sent_ = n > 0;
+    if (n < request_.size()) {
+        write_rest(n);
+    }
+}
+
+void client_connection::write_rest(std::size_t from)
+{
+    sent_ = true;
+    auto const data = std::make_shared<std::string>(request_.substr(from));
+    asio::async_write(socket_, asio::buffer(*data),
+                      [self = shared_from_this(),
+                       data](boost::system::error_code, std::size_t) {
+                          // The pending read reports a broken connection; a
+                          // server may also answer before it has read all.
+                      });
+}
+
+void client_connection::read()
+{
+    socket_.async_read_some(
+        asio::buffer(input_),
+        [self = shared_from_this()](boost::system::error_code ec,
+                                    std::size_t n) { self->on_read(ec, n); });
+}
+
+void client_connection::on_read(boost::system::error_code ec, std::size_t n)
+{
+    if (state_ == state::closed) {
+        return;
+    }
+    if (state_ == state::idle) {
+        shut();
+        if (auto const f = std::exchange(on_closed_, nullptr)) {
+            f();
+        }
+        return;
+    }
+    if (ec == asio::error::eof) {
+        on_end_of_input();
+        return;
+    }
+    if (ec) {
+        fail(answer_started_ ? exchange_fault::truncated
+                             : exchange_fault::closed);
+        return;
+    }
+    on_input(n);
+}
+
+void client_connection::on_input(std::size_t n)
+{
+    answer_started_ = true;
+    auto const room = buffer_.prepare(n);
+    buffer_.commit(asio::buffer_copy(room, asio::buffer(input_, n)));
+    boost::system::error_code ec;
+    if (!feed(ec)) {
+        fail(exchange_fault::malformed);
+        return;
+    }
+    if (parser_->is_done()) {
+        finish();
+        return;
+    }
+    read();
+}
+
+// Gives buffered input to the parser. Returns false on a malformed answer.
+bool client_connection::feed(boost::system::error_code& ec)
+{
+    while (buffer_.size() > 0) {
+        if (parser_->is_done() && !skip_interim()) {
+            return true;
+        }
+        auto const n = parser_->put(buffer_.data(), ec);
+        buffer_.consume(n);
+        if (ec == http::error::need_more) {
+            ec = {};
+            return true;
+        }
+        if (ec) {
+            return false;
+        }
+    }
+    if (parser_->is_done()) {
+        skip_interim();
+    }
+    return true;
+}
+
+// An interim answer (1xx) is followed by the final one.
+bool client_connection::skip_interim()
+{
+    if (parser_->get().result_int() >= 200) {
+        return false;
+    }
+    begin_parser();
+    return true;
+}
+
+void client_connection::on_end_of_input()
+{
+    if (!answer_started_) {
+        fail(exchange_fault::closed);
+        return;
+    }
+    boost::system::error_code ec;
+    parser_->put_eof(ec);
+    if (ec || !parser_->is_done()) {
+        fail(exchange_fault::truncated);
+        return;
+    }
+    finish();
+}
+
+void client_connection::finish()
+{
+    bool const keep = parser_->keep_alive() && buffer_.size() == 0;
+    auto message = parser_->release();
+    http_response answer{.status = message.result_int(),
+                         .content_type =
+                             std::string(message[http::field::content_type]),
+                         .body = std::move(message.body())};
+    for (auto const& field : message) {
+        std::string name(field.name_string());
+        for (auto& c : name) {
+            c = c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
+        }
+        answer.headers.emplace_back(std::move(name),
+                                    std::string(field.value()));
+    }
+    ++exchanges_;
+    auto const f = std::exchange(on_result_, nullptr);
+    if (keep) {
+        state_ = state::idle;
+        read();
+    }
+    else {
+        shut();
+    }
+    f(std::move(answer));
+}
+
+void client_connection::fail(exchange_fault fault)
+{
+    shut();
+    if (auto const f = std::exchange(on_result_, nullptr)) {
+        f(exchange_failed{.fault = fault, .sent = sent_});
+    }
+}
+
+void client_connection::close()
+{
+    shut();
+    if (on_result_) {
+        asio::post(io_, [self = shared_from_this()] {
+            self->fail(exchange_fault::closed);
+        });
+    }
+}
+
+void client_connection::shut()
+{
+    state_ = state::closed;
+    timer_.cancel();
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+}
+
+} // namespace snipemill
--- /dev/null
+++ b/src/adapters/http/client_connection.hpp
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "adapters/http/http_server.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace snipemill {
+
+enum class exchange_fault : std::uint8_t
+{
+    closed,    // before any byte of an answer
+    truncated, // inside the answer
+    malformed  // the answer is not HTTP, or larger than allowed
+};
+
+struct exchange_failed
+{
+    exchange_fault fault = exchange_fault::closed;
+    bool sent = false; // a byte of the request may have left
+};
+
+using exchange_result = std::variant<http_response, exchange_failed>;
+
+// Writes a request as HTTP/1.1 text. host is the value of the Host header.
+std::string write_http_request(http_request const& request,
+                               std::string const& host);
+
+// Client side of one HTTP/1.1 connection that carries one request at a time.
+// A read is always pending, so that a close by the server is noticed at once.
+// Callbacks come from the io_context, never inside a call.
+class client_connection : public std::enable_shared_from_this<client_connection>
+{
+public:
+    client_connection(boost::asio::io_context& io, std::size_t max_body);
+
+    void connect(boost::asio::ip::tcp::endpoint const& to, duration timeout,
+                 std::function<void(bool)> f);
+    // f is called when the connection breaks while no exchange is open.
+    void on_closed(std::function<void()> f) { on_closed_ = std::move(f); }
+    // Sends a written request. Only when usable().
+    void exchange(std::string request, bool head,
+                  std::function<void(exchange_result)> f);
+    // Closes the socket. An open exchange fails, an open connect too.
+    void close();
+
+    // Connected and without an open exchange. Asks the kernel whether the
+    // server has closed the connection.
+    bool usable();
+    bool open() const { return state_ != state::closed; }
+    // Whether a byte of the open exchange may have left.
+    bool sent() const { return sent_; }
+    std::uint64_t exchanges() const { return exchanges_; }
+
+private:
+    enum class state : std::uint8_t
+    {
+        connecting,
+        idle,
+        busy,
+        closed
+    };
+    using parser =
+        boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+    void on_connected(boost::system::error_code ec);
+    void begin_parser();
+    void write_first();
+    void write_rest(std::size_t from);
+    void read();
+    void on_read(boost::system::error_code ec, std::size_t n);
+    void on_input(std::size_t n);
+    bool feed(boost::system::error_code& ec);
+    bool skip_interim();
+    void on_end_of_input();
+    void finish();
+    void fail(exchange_fault fault);
+    void shut();
+
+    boost::asio::io_context& io_;
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer timer_;
+    std::size_t max_body_;
+    std::array<char, 8192> input_; // of the pending read
+    boost::beast::flat_buffer buffer_;
+    std::optional<parser> parser_;
+    std::string request_;
+    std::function<void(bool)> on_connect_;
+    std::function<void(exchange_result)> on_result_;
+    std::function<void()> on_closed_;
+    std::uint64_t exchanges_ = 0;
+    state state_ = state::connecting;
+    bool head_ = false;
+    bool sent_ = false;
+    bool answer_started_ = false;
+};
+
+} // namespace snipemill
--- a/src/adapters/http/http_server.cpp
+++ b/src/adapters/http/http_server.cpp
@@ -1,5 +1,9 @@
 #include "adapters/http/http_server.hpp"
 
+#include "adapters/http/server_core.hpp"
+
+#include <utility>
+
 namespace snipemill {
 
 std::string const& http_request::header(std::string const& name) const
@@ -13,4 +17,43 @@
     return empty;
 }
 
+class http_server::impl : public server_core
+{
+public:
+    using server_core::server_core;
+};
+
+http_server::http_server(boost::asio::io_context& io,
+                         http_server_options const& options,
+                         http_handler handler)
+    : impl_(std::make_shared<impl>(io, options, std::move(handler)))
+{
+    impl_->start();
+}
+
+http_server::~http_server()
+{
+    impl_->stop();
+}
+
+std::uint16_t http_server::port() const
+{
+    return impl_->port();
+}
+
+void http_server::drain()
+{
+    impl_->drain();
+}
+
+std::size_t http_server::open_requests() const
+{
+    return impl_->open_requests;
+}
+
+std::uint64_t http_server::bad_requests() const
+{
+    return impl_->bad_requests;
+}
+
 } // namespace snipemill
--- /dev/null
+++ b/src/adapters/http/server_connection.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "adapters/http/server_core.hpp"
+#include "core/base/error.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace snipemill {
+
+// One connection of an http_server. A read is always pending, so that the
+// caller's disconnect is noticed while a handler works; data read ahead stays
+// in the buffer.
+class server_connection : public std::enable_shared_from_this<server_connection>
+{
+public:
+    server_connection(std::shared_ptr<server_core> core,
+                      boost::asio::ip::tcp::socket socket);
+
+    void start();
+    // Answers that the server has too many connections, and closes.
+    void refuse();
+    // Closes after the current request, or soon when there is none.
+    void drain();
+    // Closes at once; the handler is not told.
+    void stop();
+    void respond(std::uint64_t request, http_response response);
+    // The responder was destroyed without an answer.
+    void abandon(std::uint64_t request);
+
+private:
+    enum class state : std::uint8_t
+    {
+        idle,      // no byte of the next request has arrived
+        receiving, // a request has arrived in part
+        handling,  // the handler works
+        writing,
+        lingering, // the last response is out; input is discarded
+        closed
+    };
+    using parser =
+        boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using response =
+        boost::beast::http::response<boost::beast::http::string_body>;
+
+    void begin_request();
+    void read();
+    void on_read(boost::system::error_code ec, std::size_t n);
+    void on_input_closed();
+    void parse();
+    bool feed(boost::system::error_code& ec);
+    void send_continue();
+    void dispatch();
+    void reject(boost::system::error_code ec);
+    void reject(unsigned status, failure const& f);
+    void write(response message);
+    void on_written(boost::system::error_code ec);
+    void linger();
+    void arm(duration timeout);
+    void on_timer();
+    void request_done();
+    void close();
+    void abort();
+
+    std::shared_ptr<server_core> core_;
+    boost::asio::ip::tcp::socket socket_;
+    boost::asio::steady_timer timer_;
+    std::array<char, 8192> input_; // of the pending read
+    boost::beast::flat_buffer buffer_;
+    std::optional<parser> parser_;
+    std::shared_ptr<response> response_;
+    std::function<void()> on_gone_;
+    std::uint64_t request_ = 0; // number of the current request
+    std::uint64_t timer_generation_ = 0;
+    std::size_t discarded_ = 0;
+    state state_ = state::idle;
+    bool reading_ = false;
+    bool input_closed_ = false;
+    bool continue_sent_ = false;
+    bool counted_ = false;
+    bool keep_alive_ = true;
+    bool head_ = false;
+};
+
+} // namespace snipemill
--- /dev/null
+++ b/src/adapters/http/server_core.hpp
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "adapters/http/http_server.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <unordered_set>
+
+namespace snipemill {
+
+class server_connection;
+
+// Listening socket and connections of an http_server.
+class server_core : public std::enable_shared_from_this<server_core>
+{
+public:
+    server_core(boost::asio::io_context& io, http_server_options const& options,
+                http_handler handler);
+
+    void start();
+    void drain();
+    void stop();
+    void remove(std::shared_ptr<server_connection> const& connection);
+
+    boost::asio::io_context& io() { return io_; }
+    http_server_options const& options() const { return options_; }
+    http_handler const& handler() const { return handler_; }
+    bool draining() const { return draining_; }
+    std::uint16_t port() const { return port_; }
+
+    std::size_t open_requests = 0;
+    std::uint64_t bad_requests = 0;
+
+private:
+    void listen();
+    void accept();
+    void accept_later();
+    void accept_pending();
+    void add(boost::asio::ip::tcp::socket socket);
+
+    boost::asio::io_context& io_;
+    http_server_options options_;
+    http_handler handler_;
+    boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::steady_timer retry_;
+    std::unordered_set<std::shared_ptr<server_connection>> connections_;
+    std::uint16_t port_ = 0;
+    bool draining_ = false;
+};
+
+} // namespace snipemill
--- /dev/null
+++ b/tests/adapters/http/http_server_test.cpp
@@ -0,0 +1,282 @@
+#include "adapters/http/http_server.hpp"
+#include "support/raw_peer.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+
+using namespace snipemill;
+using namespace snipemill::test;
+
+namespace {
+
+std::string get(std::string const& path)
+{
+    return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n";
+}
+
+} // namespace
+
+TEST_GROUP(http_server)
+{
+    boost::asio::io_context io;
+    std::vector<http_request> requests;
+    std::vector<http_responder> responders;
+    int gone = 0;
+    std::optional<http_server> server;
+
+    void start(http_server_options const& options = {})
+    {
+        server.emplace(io, options, [this](http_request r, http_responder f) {
+            requests.push_back(std::move(r));
+            responders.push_back(std::move(f));
+            return [this] { ++gone; };
+        });
+    }
+    std::shared_ptr<raw_peer> connect()
+    {
+        return raw_peer::connect(io, server->port());
+    }
+    void teardown() override
+    {
+        server.reset();
+        responders.clear();
+        io.restart();
+        io.poll();
+    }
+};
+
+// Guards against a request or response that loses a part on the way.
+TEST(http_server, passes_request_and_response)
+{
+    start();
+    auto const peer = connect();
+    peer->send("POST /v1/query?a=1 HTTP/1.1\r\nHost: a\r\nX-Kind: b\r\n"
+               "Content-Length: 4\r\n\r\nbody");
+    CHECK(run_until(io, [&] { return requests.size() == 1; }));
+    CHECK(requests[0].method == "POST");
+    CHECK(requests[0].target == "/v1/query?a=1");
+    CHECK(requests[0].header("x-kind") == "b");
+    CHECK(requests[0].body == "body");
+    LONGS_EQUAL(1, server->open_requests());
+
+    responders[0]({.status = 201, .body = "done"});
+    CHECK(run_until(io, [&] { return peer->has("\r\n\r\ndone"); }));
+    CHECK(peer->has("HTTP/1.1 201"));
+    CHECK(run_until(io, [&] { return server->open_requests() == 0; }));
+    LONGS_EQUAL(0, gone);
+}
+
+// Guards against pipelined data being lost while a handler works.
+TEST(http_server, answers_pipelined_requests_in_order)
+{
+    start();
+    auto const peer = connect();
+    peer->send(get("/a") + get("/b") + get("/c"));
+    for (std::size_t i = 0; i < 3; ++i) {
+        CHECK(run_until(io, [&] { return requests.size() == i + 1; }));
+        LONGS_EQUAL(i + 1, requests.size());
+        responders[i]({.body = "answer-" + requests[i].target});
+    }
+    CHECK(run_until(io, [&] { return peer->has("answer-/c"); }));
+    CHECK(peer->in.find("answer-/a") < peer->in.find("answer-/b"));
+}
+
+// Guards against work that continues for a caller that has gone.
+TEST(http_server, tells_the_handler_that_the_caller_has_gone)
+{
+    start();
+    auto const peer = connect();
+    peer->send(get("/a"));
+    CHECK(run_until(io, [&] { return requests.size() == 1; }));
+    peer->close();
+    CHECK(run_until(io, [&] { return gone == 1; }));
+    LONGS_EQUAL(0, server->open_requests());
+    responders[0]({.body = "late"});
+}
+
+// Guards against a malformed request that ends the server or gets no answer.
+TEST(http_server, refuses_malformed_request)
+{
+    start();
+    auto const peer = connect();
+    peer->send("NONSENSE\r\n\r\n");
+    CHECK(run_until(io, [&] { return peer->closed; }));
+    CHECK(peer->has("HTTP/1.1 400"));
+    CHECK(peer->has(R"("code":"malformed_request","run":"not_run")"));
+    LONGS_EQUAL(1, server->bad_requests());
+}
+
+// Guards against unbounded memory for a header.
+TEST(http_server, refuses_oversized_header)
+{
+    start({.max_header = 1000});
+    auto const peer = connect();
+    peer->send("GET / HTTP/1.1\r\nX: " + std::string(5000, 'x') + "\r\n\r\n");
+    CHECK(run_until(io, [&] { return peer->closed; }));
+    CHECK(peer->has("HTTP/1.1 431"));
+    CHECK(peer->has("header_too_large"));
+}
+
+// Guards against unbounded memory for a body, and against a refusal that is
+// lost because the caller is still sending.
+TEST(http_server, refuses_oversized_body)
+{
+    start({.max_body = 1000});
+    auto const peer = connect();
+    peer->send("POST / HTTP/1.1\r\nContent-Length: 300000\r\n\r\n" +
+               std::string(300'000, 'x'));
+    CHECK(run_until(io, [&] { return peer->has("body_too_large"); }));
+    CHECK(peer->has("HTTP/1.1 413"));
+    peer->half_close();
+    CHECK(run_until(io, [&] { return peer->closed; }));
+    CHECK(peer->error == boost::asio::error::eof);
+    LONGS_EQUAL(0, requests.size());
+}
+
+// Guards against a chunked body that passes the limit for a body.
+TEST(http_server, refuses_oversized_chunked_body)
+{
+    start({.max_body = 1000});
+    auto const peer = connect();
+    peer->send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "7d0\r\n" +
+               std::string(2000, 'x') + "\r\n0\r\n\r\n");
+    CHECK(run_until(io, [&] { return peer->closed; }));
+    CHECK(peer->has("HTTP/1.1 413"));
+}
+
+// Guards against connections held by callers that never finish a request.
+TEST(http_server, refuses_slow_request)
+{
+    start({.header_timeout = from_ms(50)});
+    auto const peer = connect();
+    peer->send("POST / HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+    CHECK(run_until(io, [&] { return peer->closed; }));
+    CHECK(peer->has("HTTP/1.1 408"));
+    CHECK(peer->has("request_timeout"));
+    LONGS_EQUAL(0, server->open_requests());
+}
+
+// Guards against idle connections that stay for ever.
+TEST(http_server, closes_idle_connection)
+{
+    start({.idle_timeout = from_ms(50)});
+    auto const peer = connect();
+    peer->send(get("/a"));
+    CHECK(run_until(io, [&] { return requests.size() == 1; }));
+    responders[0]({.body = "one"});
+    CHECK(run_until(io, [&] { return peer->closed; }));
+    CHECK(peer->has("one"));
+    LONGS_EQUAL(1, peer->count("HTTP/1.1"));
+}
+
+// Guards against more connections than the server may hold.
+TEST(http_server, refuses_connections_above_the_limit)
+{
+    start({.max_connections = 1});
+    auto const first = connect();
+    first->send(get("/a"));
+    CHECK(run_until(io, [&] { return requests.size() == 1; }));
+    auto const second = connect();
+    CHECK(run_until(io, [&] { return second->closed; }));
+    CHECK(second->has("HTTP/1.1 503"));
+    responders[0]({.body = "one"});
+    CHECK(run_until(io, [&] { return first->has("one"); }));
+}
+
+// Guards against a shutdown that interrupts a request.
+TEST(http_server, drain_finishes_requests)
+{
+    start();
+    auto const busy = connect();
+    auto const partial = connect();
+    busy->send(get("/a"));
+    partial->send("GET /b HT");
+    CHECK(run_until(io, [&] {
+        return requests.size() == 1 && server->open_requests() == 2;
+    }));
+    server->drain();
+    partial->send("TP/1.1\r\n\r\n");
+    CHECK(run_until(io, [&] { return requests.size() == 2; }));
+    responders[0]({.body = "one"});
+    responders[1]({.body = "two"});
+    CHECK(run_until(io, [&] { return busy->closed && partial->closed; }));
+    CHECK(busy->has("one"));
+    CHECK(partial->has("Connection: close"));
+    LONGS_EQUAL(0, server->open_requests());
+    LONGS_EQUAL(0, gone);
+}
+
+// Guards against a request that waits in the listen queue when the server
+// drains and is reset.
+TEST(http_server, drain_serves_connections_that_the_kernel_has_accepted)
+{
+    start();
+    auto const peer = connect();
+    peer->send(get("/a"));
+    server->drain();
+    CHECK(run_until(io, [&] { return requests.size() == 1; }));
+    responders[0]({.body = "one"});
+    CHECK(run_until(io, [&] { return peer->closed; }));
+    CHECK(peer->has("one"));
+}
+
+// Guards against a caller that waits for a handler that dropped the request.
+TEST(http_server, dropped_responder_closes_as_an_error)
+{
+    start();
+    auto const peer = connect();
+    peer->send(get("/a"));
+    CHECK(run_until(io, [&] { return requests.size() == 1; }));
+    responders.clear();
+    CHECK(run_until(io, [&] { return peer->closed; }));
+    CHECK(peer->in.empty());
+    CHECK(peer->error != boost::asio::error::eof);
+}
+
+// Guards against a caller that takes part of a response for all of it when
+// it reads too slowly.
+TEST(http_server, slow_reader_gets_an_error_or_all)
+{
+    start({.idle_timeout = from_ms(50)});
+    raw_peer::socket_type slow(io);
+    slow.connect({boost::asio::ip::address_v4::loopback(), server->port()});
+    boost::asio::write(slow, boost::asio::buffer(get("/a")));
+    CHECK(run_until(io, [&] { return requests.size() == 1; }));
+    responders[0]({.body = std::string(64 << 20, 'x')});
+    CHECK(run_until(io, [&] { return server->open_requests() == 0; }));
+    std::string buf(1 << 20, ' ');
+    boost::system::error_code ec;
+    std::size_t total = 0;
+    while (!ec) {
+        total += slow.read_some(boost::asio::buffer(buf), ec);
+    }
+    CHECK(total < (64U << 20));
+    CHECK(ec == boost::asio::error::connection_reset);
+}
+
+// Guards against callers that wait a second before sending a body.
+TEST(http_server, answers_expect_continue)
+{
+    start();
+    auto const peer = connect();
+    peer->send("POST / HTTP/1.1\r\nExpect: 100-continue\r\n"
+               "Content-Length: 2\r\n\r\n");
+    CHECK(run_until(io, [&] { return peer->has("100 Continue\r\n\r\n"); }));
+    peer->send("ab");
+    CHECK(run_until(io, [&] { return requests.size() == 1; }));
+    CHECK(requests[0].body == "ab");
+}
+
+// Guards against two lanes that cannot share a port.
+TEST(http_server, reuse_port_lets_two_servers_listen)
+{
+    start({.reuse_port = true});
+    http_server other(io, {.port = server->port(), .reuse_port = true},
+                      [](http_request const&, http_responder const& f) {
+                          f({.body = "other"});
+                          return nullptr;
+                      });
+    LONGS_EQUAL(server->port(), other.port());
+}
