--- a/src/adapters/http/client_connection.cpp
+++ b/src/adapters/http/client_connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include <cassert>
+#include <string_view>
 #include <utility>
 
 namespace snipemill {
@@ -18,6 +19,17 @@
 
 constexpr std::uint32_t max_answer_header = 64 * 1024;
 
+// Header values can come from another host. Control characters would end the
+// header line, so they are left out.
+void append_value(std::string& out, std::string_view value)
+{
+    for (auto const c : value) {
+        if (static_cast<unsigned char>(c) >= ' ') {
+            out.push_back(c);
+        }
+    }
+}
+
 } // namespace
 
 std::string write_http_request(http_request const& request,
@@ -28,7 +40,9 @@
     out.append(request.method).append(" ").append(request.target);
     out.append(" HTTP/1.1\r\nHost: ").append(host).append("\r\n");
     for (auto const& [name, value] : request.headers) {
-        out.append(name).append(": ").append(value).append("\r\n");
+        out.append(name).append(": ");
+        append_value(out, value);
+        out.append("\r\n");
     }
     bool const bodyless = request.method == "GET" || request.method == "HEAD";
     if (!request.body.empty() || !bodyless) {
--- a/src/adapters/http/client_pool.cpp
+++ b/src/adapters/http/client_pool.cpp
@@ -28,7 +28,7 @@
       host_(options.ip + ":" + std::to_string(options.port))
 {}
 
-void client_pool::send(http_request const& request, duration timeout,
+void client_pool::send(http_request&& request, duration timeout,
                        std::function<void(http_result)> f)
 {
     auto const it = std::make_shared<job>(io_);
--- a/src/adapters/http/client_pool.hpp
+++ b/src/adapters/http/client_pool.hpp
@@ -21,7 +21,7 @@
     client_pool(boost::asio::io_context& io,
                 http_client_options const& options);
 
-    void send(http_request const& request, duration timeout,
+    void send(http_request&& request, duration timeout,
               std::function<void(http_result)> f);
     // Closes all connections; open requests get no callback.
     void stop();
--- a/src/adapters/http/http_client.cpp
+++ b/src/adapters/http/http_client.cpp
@@ -25,8 +25,7 @@
 void http_client::send(http_request request, duration timeout,
                        std::function<void(http_result)> f)
 {
-    http_request const taken = std::move(request);
-    impl_->send(taken, timeout, std::move(f));
+    impl_->send(std::move(request), timeout, std::move(f));
 }
 
 } // namespace snipemill
