--- a/src/core/ownership/owner_table.cpp
+++ b/src/core/ownership/owner_table.cpp
@@ -50,15 +50,25 @@
     return ranked.front().host;
 }
 
+// The host that pick() would give if the first were gone. The owners of the
+// replicas before this one do not depend on that host.
 std::optional<host_index> pick_second(std::vector<ranked_host> const& ranked,
-                                      host_index first)
+                                      host_index first,
+                                      std::vector<host_index> const& taken)
 {
+    std::optional<host_index> fallback;
     for (auto const& it : ranked) {
-        if (it.host != first) {
+        if (it.host == first) {
+            continue;
+        }
+        if (std::find(taken.begin(), taken.end(), it.host) == taken.end()) {
             return it.host;
         }
+        if (!fallback) {
+            fallback = it.host;
+        }
     }
-    return std::nullopt;
+    return fallback;
 }
 
 } // namespace
@@ -92,7 +102,7 @@
             }
             rank_hosts(hashes, hosts_here->second, upstream.object.id, ranked);
             auto const first = pick(ranked, taken);
-            table->owners_[index] = {first, pick_second(ranked, *first)};
+            table->owners_[index] = {first, pick_second(ranked, *first, taken)};
             taken.push_back(*first);
         }
     };
