--- a/src/adapters/codec/config_json.cpp
+++ b/src/adapters/codec/config_json.cpp
@@ -261,7 +261,7 @@
     return json::serialize(to_json(t));
 }
 
-std::string write_head(config_head const& head)
+std::string write_config_head(config_head const& head)
 {
     json::object out;
     out["number"] = head.number;
--- a/src/app/control_plane.cpp
+++ b/src/app/control_plane.cpp
@@ -572,7 +572,9 @@
 
 bool control_plane::ready() const
 {
-    return ready_ && !leaving_ && spread_->store().number() > 0;
+    auto const* own = topology_->find_data_centre(settings_->data_centre);
+    auto const taken_out = own != nullptr && !own->in;
+    return ready_ && !leaving_ && !taken_out && spread_->store().number() > 0;
 }
 
 control_status control_plane::status() const
--- a/tests/adapters/codec/config_json_test.cpp
+++ b/tests/adapters/codec/config_json_test.cpp
@@ -46,7 +46,7 @@
         head.base = *rc::gen::inRange(0U, 1000U);
         head.tickets = gen::tickets(head.base);
         head.number = head.base + head.tickets.size();
-        RC_ASSERT(parse_head(write_head(head)) == head);
+        RC_ASSERT(parse_head(write_config_head(head)) == head);
         auto const state = gen::snapshot();
         RC_ASSERT(parse_snapshot(write_snapshot(state)) == state);
     }));
@@ -69,7 +69,7 @@
 TEST(config_json, truncated_or_inconsistent_stored_text_has_no_value)
 {
     config_head const head{1, 0, {{1, "a", "r", "n", {}}}};
-    auto const text = write_head(head);
+    auto const text = write_config_head(head);
     for (std::size_t n = 0; n < text.size(); ++n) {
         CHECK(!parse_head(text.substr(0, n)).has_value());
     }
