--- a/src/core/config/config_spread.cpp
+++ b/src/core/config/config_spread.cpp
@@ -15,6 +15,9 @@
 // Announcements of a reader per silence that makes a standby take over.
 constexpr int announcements_per_silence = 5;
 
+// Time for a first round of announcements and pulls to go through a fleet.
+constexpr duration repeat_after = from_ms(700);
+
 bool is_live(member_info const& m)
 {
     return m.state == member_state::alive || m.state == member_state::suspect;
@@ -32,9 +35,10 @@
           pulls_(settings.pull_retry), platform_(settings, random_)
     {}
 
-    void adopt(config_push push, spread_actions& out);
+    void adopt(time_point now, config_push push, spread_actions& out);
     void adopt_read(time_point now, config_read read, spread_actions& out);
-    void on_push(host_id const& from, config_push push, spread_actions& out);
+    void on_push(time_point now, host_id const& from, config_push push,
+                 spread_actions& out);
     // Starts whatever is due after an input.
     void run(time_point now, spread_actions& out);
     time_point next_timer() const;
@@ -54,45 +58,76 @@
 
 private:
     void announce_adoption(spread_actions& out);
+    host_id take_random(std::vector<host_id>& ids);
+    void repeat_announcement(time_point now, spread_actions& out);
     void announce_as_reader(time_point now, spread_actions& out);
     void update_ready(spread_actions& out);
     void run_pulls(time_point now, spread_actions& out);
     std::optional<host_id> next_unheard(time_point now) const;
 
-    time_point next_announcement_ = time_point::max();
+    time_point next_announcement_ = time_point::max(); // as a reader
+    time_point repeat_at_ = time_point::max();
 };
 
-void config_spread::impl::adopt(config_push push, spread_actions& out)
+void config_spread::impl::adopt(time_point now, config_push push,
+                                spread_actions& out)
 {
     if (!store_.adopt(std::move(push))) {
         return;
     }
     out.push_back(config_adopted{store_.number()});
     announce_adoption(out);
+    repeat_at_ = now + repeat_after;
 }
 
-// Random peers, most of them of this data centre; one elsewhere, so that a
-// data centre without the platform hears of the ticket too.
+// The next host of this data centre in the order of ids, so that each host is
+// told by one other even when the random choice misses it; one host elsewhere,
+// so that a data centre without the platform hears of the ticket too; else
+// random hosts of this data centre.
 void config_spread::impl::announce_adoption(spread_actions& out)
 {
-    auto peers = members_;
-    for (auto i = peers.size(); i > 1; --i) {
-        auto const j = random_.below(static_cast<std::uint32_t>(i));
-        std::swap(peers[i - 1], peers[j]);
+    std::vector<host_id> local;
+    std::vector<host_id> others;
+    for (auto const& it : members_) {
+        (it.data_centre == self_.data_centre ? local : others).push_back(it.id);
+    }
+    std::vector<host_id> chosen;
+    if (!local.empty()) {
+        auto const next =
+            std::upper_bound(local.begin(), local.end(), self_.id);
+        chosen.push_back(next == local.end() ? local.front() : *next);
+    }
+    if (!others.empty()) {
+        chosen.push_back(take_random(others));
+    }
+    std::erase(local, chosen.empty() ? host_id() : chosen.front());
+    while (chosen.size() < settings_.push_fanout &&
+           local.size() + others.size() > 0) {
+        chosen.push_back(take_random(local.empty() ? others : local));
+    }
+    chosen.resize(std::min<std::size_t>(chosen.size(), settings_.push_fanout));
+    for (auto const& id : chosen) {
+        out.push_back(announce_config{id, store_.number()});
     }
-    auto const middle = std::stable_partition(
-        peers.begin(), peers.end(), [&](member_info const& m) {
-            return m.data_centre == self_.data_centre;
-        });
-    auto const elsewhere = middle != peers.end();
-    auto const local_room = settings_.push_fanout - (elsewhere ? 1 : 0);
-    auto const local = std::min<std::size_t>(
-        local_room, static_cast<std::size_t>(middle - peers.begin()));
-    std::rotate(peers.begin() + static_cast<std::ptrdiff_t>(local), middle,
-                peers.end());
-    auto const n = std::min<std::size_t>(settings_.push_fanout, peers.size());
-    for (std::size_t i = 0; i < n; ++i) {
-        out.push_back(announce_config{peers[i].id, store_.number()});
+}
+
+host_id config_spread::impl::take_random(std::vector<host_id>& ids)
+{
+    auto const i = random_.below(static_cast<std::uint32_t>(ids.size()));
+    std::swap(ids[i], ids.back());
+    auto id = std::move(ids.back());
+    ids.pop_back();
+    return id;
+}
+
+// A second round reaches hosts whose announcement was lost or whose
+// predecessor is paused, well within the 3 s for a ticket.
+void config_spread::impl::repeat_announcement(time_point now,
+                                              spread_actions& out)
+{
+    if (repeat_at_ <= now) {
+        repeat_at_ = time_point::max();
+        announce_adoption(out);
     }
 }
 
@@ -100,9 +135,9 @@
                                      spread_actions& out)
 {
     if (read.state) {
-        adopt(std::move(*read.state), out);
+        adopt(now, std::move(*read.state), out);
     }
-    adopt(std::move(read.head.tickets), out);
+    adopt(now, std::move(read.head.tickets), out);
     if (store_.number() < read.head.number) {
         // The head was cut between the two reads.
         platform_.on_gap(now);
@@ -112,13 +147,13 @@
     confirmed_at_ = now;
 }
 
-void config_spread::impl::on_push(host_id const& from, config_push push,
-                                  spread_actions& out)
+void config_spread::impl::on_push(time_point now, host_id const& from,
+                                  config_push push, spread_actions& out)
 {
     pulls_.on_answer(from);
     quorum_.on_answer(from);
     auto const before = store_.number();
-    adopt(std::move(push), out);
+    adopt(now, std::move(push), out);
     if (store_.number() == before) {
         // Not ahead after all; asking again at once would not help.
         pulls_.on_peer_number(from, before);
@@ -135,6 +170,7 @@
     auto const wanted = rank_.reader() || (!ready_ && !platform_.has_read());
     platform_.run(now, wanted, store_.number(), out);
     announce_as_reader(now, out);
+    repeat_announcement(now, out);
     run_pulls(now, out);
 }
 
@@ -200,7 +236,7 @@
         return time_point::max();
     }
     auto next = std::min(platform_.next_timer(), rank_.takeover_at());
-    next = std::min(next, next_announcement_);
+    next = std::min({next, next_announcement_, repeat_at_});
     if (pulls_.busy() || !ready_ || pulls_.any_ahead(store_.number())) {
         next = std::min(next, pulls_.next_timer());
     }
@@ -232,6 +268,8 @@
     std::erase_if(impl_->members_, [&](member_info const& m) {
         return m.id == impl_->self_.id;
     });
+    std::sort(impl_->members_.begin(), impl_->members_.end(),
+              [](auto const& a, auto const& b) { return a.id < b.id; });
     impl_->rank_.set_members(now, members);
     impl_->quorum_.set_members(members);
     impl_->pulls_.forget_others(members);
@@ -259,7 +297,7 @@
 void config_spread::on_push(time_point now, host_id const& from,
                             config_push push, spread_actions& out)
 {
-    impl_->on_push(from, std::move(push), out);
+    impl_->on_push(now, from, std::move(push), out);
     impl_->run(now, out);
 }
 
