--- a/src/core/owner/owner_engine_impl.cpp
+++ b/src/core/owner/owner_engine_impl.cpp
@@ -100,7 +100,7 @@
     }
     u->view_sequence = views_;
     if (u->listing != listed) {
-        change_listing(now, *u, std::move(listed), out);
+        change_listing(*u, std::move(listed), out);
     }
     if (u->role != role) {
         change_role(now, *u, role, out);
@@ -108,7 +108,7 @@
     dispatcher.apply_state(now, *u, out);
 }
 
-void owner_engine::impl::change_listing(time_point now, owned_upstream& u,
+void owner_engine::impl::change_listing(owned_upstream& u,
                                         upstream_listing listed,
                                         owner_actions& out)
 {
@@ -125,7 +125,6 @@
     if (u.role != ownership_role::none) {
         connect(u, out);
     }
-    dispatcher.pump(now, u, out);
 }
 
 void owner_engine::impl::change_role(time_point now, owned_upstream& u,
--- a/tests/core/owner/owner_engine_test.cpp
+++ b/tests/core/owner/owner_engine_test.cpp
@@ -147,6 +147,26 @@
     LONGS_EQUAL(2, b.all<dispatch_query>().size());
 }
 
+// Guards against the last chance of a waiting request: a view that makes an
+// upstream leave must not first dispatch what a larger number of slots in the
+// same view would allow. A replay found this.
+TEST(owner_engine, view_that_takes_an_upstream_out_dispatches_nothing)
+{
+    owner_bench b;
+    b.warm_up({});
+    for (peer_handle i = 1; i <= 2; ++i) {
+        b.batch(i, batch_of({1}));
+    }
+    b.fail(b.all<dispatch_query>()[0].handle, sub_outcome::reset);
+    b.batch(3, batch_of({1}));
+    b.fail(b.all<dispatch_query>()[1].handle, sub_outcome::cancelled);
+    b.now += from_ms(30);
+    b.view({.slots = 4, .states = {{1, upstream_state::leaving}}});
+    LONGS_EQUAL(2, b.all<dispatch_query>().size());
+    CHECK(b.all<send_part>().back().part.results[0].outcome ==
+          sub_outcome::draining);
+}
+
 // Guards against a data centre that is taken out but gets new work (R4).
 TEST(owner_engine, refuses_work_while_the_data_centre_is_out)
 {
