Add HTTP/2 streams between hosts

Hosts exchange queries and parts as short streams, about 50,000 messages/s in each direction at the target size.

--- a/src/adapters/http/server_core.cpp
+++ b/src/adapters/http/server_core.cpp
@@ -1,12 +1,11 @@
 #include "adapters/http/server_core.hpp"
 
 #include "adapters/http/server_connection.hpp"
+#include "adapters/net/listen.hpp"
 
 #include <boost/asio/error.hpp>
 #include <boost/asio/socket_base.hpp>
 
-#include <sys/socket.h>
-
 #include <chrono>
 #include <utility>
 
@@ -17,9 +16,6 @@
 
 namespace {
 
-using reuse_port_option =
-    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
-
 // Wait after a failed accept; without it a process that is out of file
 // descriptors would spin.
 constexpr auto accept_retry = std::chrono::milliseconds(50);
@@ -35,20 +31,7 @@
     : io_(io), options_(options), handler_(std::move(handler)), acceptor_(io),
       retry_(io)
 {
-    listen();
-}
-
-void server_core::listen()
-{
-    auto const address = asio::ip::make_address(options_.ip);
-    tcp::endpoint const endpoint(address, options_.port);
-    acceptor_.open(endpoint.protocol());
-    acceptor_.set_option(asio::socket_base::reuse_address(true));
-    if (options_.reuse_port) {
-        acceptor_.set_option(reuse_port_option(true));
-    }
-    acceptor_.bind(endpoint);
-    acceptor_.listen(asio::socket_base::max_listen_connections);
+    listen_on(acceptor_, options_.ip, options_.port, options_.reuse_port);
     acceptor_.non_blocking(true);
     port_ = acceptor_.local_endpoint().port();
 }
--- a/src/adapters/http/server_core.hpp
+++ b/src/adapters/http/server_core.hpp
@@ -36,7 +36,6 @@
     std::uint64_t bad_requests = 0;
 
 private:
-    void listen();
     void accept();
     void accept_later();
     void accept_pending();
--- /dev/null
+++ b/src/adapters/peer/peer_client.cpp
@@ -0,0 +1,111 @@
+#include "adapters/peer/client_stream.hpp"
+#include "adapters/peer/peer_connection.hpp"
+#include "adapters/peer/peer_link.hpp"
+
+#include <boost/asio/post.hpp>
+
+#include <unordered_map>
+#include <utility>
+
+namespace snipemill {
+
+class peer_client::impl : public std::enable_shared_from_this<impl>
+{
+public:
+    impl(boost::asio::io_context& io, peer_link_options const& options)
+        : io_(io), options_(options),
+          counters_(std::make_shared<peer_counters>())
+    {}
+
+    std::shared_ptr<peer_stream> open(peer_address const& to,
+                                      std::string_view path,
+                                      std::string_view message,
+                                      std::function<void(stream_event)> f)
+    {
+        auto stream = std::make_shared<client_stream>(
+            options_.max_message, path, message, std::move(f), counters_);
+        connection(to)->open(stream);
+        return stream;
+    }
+
+    void forget(host_id const& id)
+    {
+        auto const it = peers_.find(id);
+        if (it == peers_.end()) {
+            return;
+        }
+        auto const connection = std::move(it->second);
+        peers_.erase(it);
+        close_later(connection);
+    }
+
+    void stop()
+    {
+        for (auto const& [id, it] : std::exchange(peers_, {})) {
+            it->discard();
+        }
+    }
+
+    peer_counters const& counters() const { return *counters_; }
+
+private:
+    // Streams fail after the call, as everywhere.
+    void close_later(std::shared_ptr<peer_connection> const& it)
+    {
+        boost::asio::post(io_, [weak = weak_from_this(), it] {
+            if (weak.expired()) {
+                it->discard();
+                return;
+            }
+            it->close();
+        });
+    }
+
+    std::shared_ptr<peer_connection> const& connection(peer_address const& to)
+    {
+        auto& it = peers_[to.id];
+        if (it && !(it->address() == to)) {
+            close_later(it); // the host was replaced
+            it = nullptr;
+        }
+        if (!it) {
+            it =
+                std::make_shared<peer_connection>(io_, to, options_, counters_);
+        }
+        return it;
+    }
+
+    boost::asio::io_context& io_;
+    peer_link_options options_;
+    std::shared_ptr<peer_counters> counters_;
+    std::unordered_map<host_id, std::shared_ptr<peer_connection>> peers_;
+};
+
+peer_client::peer_client(boost::asio::io_context& io,
+                         peer_link_options const& options)
+    : impl_(std::make_shared<impl>(io, options))
+{}
+
+peer_client::~peer_client()
+{
+    impl_->stop();
+}
+
+std::shared_ptr<peer_stream>
+peer_client::open(peer_address const& to, std::string_view path,
+                  std::string message, std::function<void(stream_event)> f)
+{
+    return impl_->open(to, path, message, std::move(f));
+}
+
+void peer_client::forget(host_id const& id)
+{
+    impl_->forget(id);
+}
+
+peer_counters const& peer_client::counters() const
+{
+    return impl_->counters();
+}
+
+} // namespace snipemill
--- /dev/null
+++ b/src/adapters/peer/peer_connection.hpp
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "adapters/net/connect_backoff.hpp"
+#include "adapters/peer/client_stream.hpp"
+#include "adapters/peer/h2_session.hpp"
+#include "ports/peer_port.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace snipemill {
+
+// The connection to one peer: made on first use, made again after it broke,
+// with a growing delay after failures.
+class peer_connection : public std::enable_shared_from_this<peer_connection>
+{
+public:
+    peer_connection(boost::asio::io_context& io, peer_address address,
+                    peer_link_options const& options,
+                    std::shared_ptr<peer_counters> counters);
+
+    peer_address const& address() const { return address_; }
+    void open(std::shared_ptr<client_stream> const& stream);
+    // Closes the connection; open streams fail.
+    void close();
+    // Closes the connection; nobody is told.
+    void discard();
+
+private:
+    void connect();
+    void shut();
+    void on_connected(boost::system::error_code ec);
+    void start_session();
+    void on_broken(h2_session const* session);
+    void request(std::shared_ptr<client_stream> const& stream);
+    void fail_later(std::shared_ptr<client_stream> const& stream);
+
+    boost::asio::io_context& io_;
+    peer_address address_;
+    std::string authority_;
+    peer_link_options options_;
+    std::shared_ptr<peer_counters> counters_;
+    boost::asio::ip::tcp::socket socket_; // while connecting
+    boost::asio::steady_timer timer_;
+    std::shared_ptr<h2_session> session_;
+    std::vector<std::shared_ptr<h2_session>> leaving_; // finish their streams
+    std::vector<std::shared_ptr<client_stream>> waiting_;
+    connect_backoff backoff_;
+    bool connecting_ = false;
+    bool closed_ = false;
+    bool discarded_ = false;
+};
+
+} // namespace snipemill
--- a/src/adapters/upstream/upstream_control.hpp
+++ b/src/adapters/upstream/upstream_control.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "adapters/http/client_connection.hpp"
-#include "adapters/upstream/connect_backoff.hpp"
+#include "adapters/net/connect_backoff.hpp"
 #include "adapters/upstream/upstream_pool.hpp"
 
 #include <boost/asio/steady_timer.hpp>
