--- a/src/core/query/replica_choice.cpp
+++ b/src/core/query/replica_choice.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-constexpr std::uint32_t remote_penalty = 8;   // above every condition
-constexpr std::uint32_t unheard_penalty = 64; // above every known holder
+constexpr std::uint32_t remote_penalty = 8;    // above every condition
+constexpr std::uint32_t unheard_penalty = 64;  // above every known holder
+constexpr std::uint32_t lacking_penalty = 128; // above every possible holder
 constexpr std::uint32_t never = ~std::uint32_t{0};
 
 std::uint32_t condition_penalty(upstream_condition condition)
@@ -43,7 +44,8 @@
     auto const& known = catalogue.upstream(u);
     auto const condition = known.condition_at(now);
     auto const holds = known.find(wanted.version) != nullptr;
-    if (!routes.can_serve(u) || (known.described && !holds)) {
+    auto const lacks = known.described && !holds;
+    if (!routes.can_serve(u) || (wanted.extra && lacks)) {
         return never;
     }
     if (wanted.hedge && !takes_hedges(condition)) {
@@ -52,7 +54,7 @@
     auto const& upstream = routes.config().upstreams()[u];
     auto const local = routes.data_centre() == upstream.data_centre;
     return condition_penalty(condition) + (local ? 0 : remote_penalty) +
-           (holds ? 0 : unheard_penalty);
+           (holds ? 0 : unheard_penalty) + (lacks ? lacking_penalty : 0);
 }
 
 } // namespace
--- a/src/core/query/replica_choice.hpp
+++ b/src/core/query/replica_choice.hpp
@@ -21,6 +21,10 @@
         std::span<topology_index const> replicas;
         index_version version;
         std::span<upstream_id const> tried; // not chosen again
+        // Skip replicas that are known not to hold the version. A first
+        // attempt goes there when nobody else is left, because what is known
+        // may be out of date; an extra attempt is not spent on them.
+        bool extra = false;
         bool hedge = false; // skip replicas whose owner would refuse a hedge
     };
 
--- a/src/core/query/snapshot_run.cpp
+++ b/src/core/query/snapshot_run.cpp
@@ -123,6 +123,7 @@
                                      {.view = view_,
                                       .service = s,
                                       .tried = service.upstreams(),
+                                      .extra = true,
                                       .hedge = true})) {
         budget.take();
         service.hedged = true;
@@ -346,9 +347,11 @@
         target_planner::plan_other_owner(shared, failed, owner)) {
         return true;
     }
-    if (target_planner::plan_replica(
-            shared, now,
-            {.view = view_, .service = s, .tried = service.upstreams()})) {
+    if (target_planner::plan_replica(shared, now,
+                                     {.view = view_,
+                                      .service = s,
+                                      .tried = service.upstreams(),
+                                      .extra = true})) {
         return true;
     }
     return service.last == sub_outcome::not_owner &&
--- a/src/core/query/target_planner.cpp
+++ b/src/core/query/target_planner.cpp
@@ -47,6 +47,7 @@
         {.replicas = replicas(shared, wanted),
          .version = wanted.view.version,
          .tried = wanted.tried,
+         .extra = wanted.extra,
          .hedge = wanted.hedge});
     if (!position) {
         return false;
--- a/src/core/query/target_planner.hpp
+++ b/src/core/query/target_planner.hpp
@@ -37,6 +37,7 @@
         run_view const& view;
         std::uint32_t service = 0;
         std::span<upstream_id const> tried;
+        bool extra = false; // a retry or hedge
         bool hedge = false;
     };
 
--- a/tests/core/query/query_world.cpp
+++ b/tests/core/query/query_world.cpp
@@ -113,7 +113,8 @@
             .held = held.at(u)};
 }
 
-std::vector<record> query_world::records(upstream_id u) const
+std::vector<record> query_world::records(upstream_id u,
+                                         index_version version) const
 {
     std::vector<record> out;
     for (auto const& it : merged(u).partitions) {
@@ -121,7 +122,8 @@
             auto const p = it.id.value;
             out.push_back({.key = "p" + padded(p) + "-" + std::to_string(i),
                            .rank = 10.0 * i + p,
-                           .partition = it.id});
+                           .partition = it.id,
+                           .body = std::to_string(version.value)});
         }
     }
     return out;
@@ -141,7 +143,7 @@
             continue;
         }
         it.results.push_back(merged(u));
-        auto more = records(u);
+        auto more = records(u, batch.version);
         it.records.insert(it.records.end(), more.begin(), more.end());
     }
     auto const descending = batch.order == sort_order::descending;
--- a/tests/core/query/query_world.hpp
+++ b/tests/core/query/query_world.hpp
@@ -4,6 +4,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,7 +27,8 @@
 
 // An engine, the configuration that it routes by, and upstreams that all hold
 // the same versions unless a test says otherwise. Partition p of version v has
-// the records "p<p>-<i>" with the rank 10 * i + p, for i below 3.
+// the records "p<p>-<i>" with the rank 10 * i + p and the body v, for i below
+// 3.
 class query_world
 {
 public:
@@ -56,7 +58,7 @@
 
     target_result merged(upstream_id u) const;
     target_result failed(upstream_id u, sub_outcome outcome) const;
-    std::vector<record> records(upstream_id u) const;
+    std::vector<record> records(upstream_id u, index_version version) const;
     // A well-formed part that answers these targets of a batch.
     query_part part(query_batch const& batch,
                     std::vector<upstream_id> const& targets, bool final) const;
