--- a/src/core/submit/submit_engine_impl.cpp
+++ b/src/core/submit/submit_engine_impl.cpp
@@ -15,9 +15,9 @@
 // Time after the deadline in which a claim is settled in the background. A
 // claim that is not settled blocks its key until it is removed.
 constexpr duration settle_time = from_ms(5000);
-// Pause before a further read of the claim; doubles up to the maximum,
-// because every read counts against the platform's rate.
-constexpr duration first_read_pause = from_ms(50);
+// Pause before a further read of the claim; doubles with every read up to the
+// maximum, because every read counts against the platform's rate.
+constexpr duration read_pause_unit = from_ms(50);
 constexpr std::uint32_t max_read_doublings = 4;
 constexpr duration record_pause = from_ms(500);
 constexpr std::uint32_t max_records = 3;
@@ -119,7 +119,7 @@
 {
     auto const doublings = std::min(run.reads, max_read_doublings);
     run.phase = submit_phase::read_pause;
-    run.resume = now + first_read_pause * (1U << doublings);
+    run.resume = now + read_pause_unit * (1U << doublings);
     runs.schedule(run);
 }
 
