--- a/src/adapters/upstream/upstream_control.cpp
+++ b/src/adapters/upstream/upstream_control.cpp
@@ -41,7 +41,7 @@
     if (status_ || status_open_) {
         return;
     }
-    status_.emplace(std::move(text), std::move(f));
+    status_ = task{std::move(text), std::move(f)};
     pump();
 }
 
