--- /dev/null
+++ b/perf/main.cpp
@@ -0,0 +1,3 @@
+#include <benchmark/benchmark.h>
+
+BENCHMARK_MAIN();
--- a/tests/core/query/query_engine_test.cpp
+++ b/tests/core/query/query_engine_test.cpp
@@ -133,6 +133,27 @@
     CHECK(w.take<answer_caller>().empty());
 }
 
+// Guards against records of a target that was first reported as failed and
+// then repeated as merged: its partition is not part of the coverage.
+TEST(query_engine, records_of_a_dropped_result_are_absent)
+{
+    query_world w({.replicas = 1,
+                   .hosts = 1,
+                   .group = {.name = "orders", .min_coverage = 0}});
+    auto const sent = w.open_query(1, {.limit = 100}).front();
+    auto const repeated = sent.batch.targets[0];
+    query_part lost{.id = sent.batch.id, .version = sent.batch.version};
+    lost.results.push_back(w.failed(repeated, sub_outcome::reset));
+    w.answer_part(sent.to, lost);
+    w.answer(sent);
+
+    auto const it = w.take_answer();
+    LONGS_EQUAL(6, it.coverage.merged);
+    LONGS_EQUAL(18, it.total);
+    LONGS_EQUAL(18, it.records.size());
+    LONGS_EQUAL(1, w.engine.counters().duplicate_results);
+}
+
 // Guards against an answer below the wanted coverage, and against a partial
 // one that is not marked or does not name what is missing.
 TEST(query_engine, low_coverage_is_refused_or_marked)
--- a/tests/core/query/record_merger_test.cpp
+++ b/tests/core/query/record_merger_test.cpp
@@ -52,9 +52,10 @@
 TEST(record_merger, result_is_the_sorted_distinct_prefix)
 {
     auto const ok = rc::check([] {
-        auto const n = *rc::gen::inRange(0, 60);
+        auto const n = *rc::gen::inRange<std::size_t>(0, 60);
         std::vector<record> all;
-        for (int i = 0; i < n; ++i) {
+        all.reserve(n);
+        for (std::size_t i = 0; i < n; ++i) {
             all.push_back(any_record());
         }
         auto const order =
