--- a/src/core/owner/upstream_limiter.cpp
+++ b/src/core/owner/upstream_limiter.cpp
@@ -47,7 +47,7 @@
     }
     // Requests that the previous owner has in flight still occupy slots.
     auto const usable = std::min(state.limit, slots_);
-    limit_ = std::max(usable, state.in_flight + 1) - state.in_flight;
+    limit_ = usable > state.in_flight ? usable - state.in_flight : 1;
     good_run_ = 0;
     state_ = limit_ < slots_ ? limiter_state::warming : limiter_state::warm;
 }
