Keep the pace of a cold upstream over a change of owner

Cause: an upstream that was lost and gained again within 20 ms was sent two requests within one cold_start_interval, because the limiter of the second ownership knew no earlier start.

Change: the pace counts from the moment an upstream is gained. A focused test guards this. Tests that dispatch right after the first view wait 20 ms first.

--- a/src/core/owner/owner_engine_impl.cpp
+++ b/src/core/owner/owner_engine_impl.cpp
@@ -140,6 +140,7 @@
         break;
     case ownership_role::second:
         u.limiter.hold(time_point::max());
+        u.limiter.on_start(now);
         connect(u, out);
         break;
     case ownership_role::none:
@@ -149,12 +150,15 @@
     }
 }
 
+// The previous owner, which may be this host, may have started a request just
+// now, so the pace of a cold upstream counts from here.
 void owner_engine::impl::gain(time_point now, owned_upstream& u,
                               owner_actions& out)
 {
     ++counters.ownership_gained;
     u.limiter.turn_cold();
     u.limiter.hold(time_point::min());
+    u.limiter.on_start(now);
     if (auto const state = handovers_.take(now, u.id())) {
         u.limiter.adopt(*state);
     }
--- a/tests/core/owner/owner_engine_test.cpp
+++ b/tests/core/owner/owner_engine_test.cpp
@@ -56,6 +56,7 @@
 {
     owner_bench b({}, 1, 2);
     b.view({});
+    b.wait(from_ms(20));
     b.batch(1, batch_of({1, 2, 9}));
     CHECK(!b.outcome(1).has_value());
     b.answer_all();
@@ -96,6 +97,7 @@
 {
     owner_bench b;
     b.view({});
+    b.wait(from_ms(20));
     b.batch(1, batch_of({1}));
     b.batch(2, batch_of({1}));
     LONGS_EQUAL(1, b.all<dispatch_query>().size());
@@ -107,6 +109,23 @@
     LONGS_EQUAL(1, b.all<dispatch_query>().size());
 }
 
+// Guards against a cold upstream that is lost and gained again and then sent
+// two requests within one interval. A replay found this.
+TEST(owner_engine, keeps_the_pace_of_a_cold_upstream_over_a_change_of_owner)
+{
+    owner_bench b;
+    b.view({});
+    b.wait(from_ms(20));
+    b.batch(1, batch_of({1}));
+    b.answer_all();
+    b.view({.data_centre_in = true}, {"b"});
+    b.view({});
+    b.batch(2, batch_of({1}));
+    LONGS_EQUAL(0, b.all<dispatch_query>().size());
+    b.wait(from_ms(20));
+    LONGS_EQUAL(1, b.all<dispatch_query>().size());
+}
+
 // Guards against hedges that add load where there is no room.
 TEST(owner_engine, runs_hedges_only_on_a_warm_idle_upstream)
 {
@@ -303,6 +322,7 @@
 {
     owner_bench b;
     b.view({});
+    b.wait(from_ms(20));
     for (int i = 0; i < 40; ++i) {
         b.batch(1, batch_of({1}));
         b.batch(2, batch_of({1}));
@@ -381,6 +401,7 @@
     CHECK(second != 0);
     owner_bench b;
     b.engine.on_view(b.now, table, b.out);
+    b.wait(from_ms(20));
     b.batch(1, batch_of({second}));
     CHECK(b.outcome(second) == sub_outcome::not_owner);
     auto retry = batch_of({second});
