Refuse requests in the listen queue of a draining host

Closing the listening socket reset connections that the kernel had accepted, so their requests counted as possibly run. They now get a GOAWAY.

--- a/src/adapters/peer/client_stream.cpp
+++ b/src/adapters/peer/client_stream.cpp
@@ -8,7 +8,8 @@
                              std::string_view message,
                              std::function<void(stream_event)> f,
                              std::shared_ptr<peer_counters> counters)
-    : h2_stream(max_message), path_(path), f_(std::move(f)),
+    : h2_stream(max_message), path_(path),
+      f_(std::make_shared<std::function<void(stream_event)>>(std::move(f))),
       counters_(std::move(counters))
 {
     out.reserve(message.size() + 4);
@@ -45,8 +46,8 @@
 void client_stream::on_message(std::string message)
 {
     if (f_) {
-        auto const f = f_; // the call may cancel the stream
-        f(std::move(message));
+        auto const f = f_;
+        (*f)(std::move(message));
     }
 }
 
@@ -87,7 +88,7 @@
 void client_stream::finish(stream_event event)
 {
     if (auto const f = std::exchange(f_, nullptr)) {
-        f(std::move(event));
+        (*f)(std::move(event));
     }
 }
 
--- a/src/adapters/peer/client_stream.hpp
+++ b/src/adapters/peer/client_stream.hpp
@@ -39,7 +39,8 @@
 
     std::weak_ptr<h2_session> session_;
     std::string path_;
-    std::function<void(stream_event)> f_;
+    // Shared, so that a call can outlive a cancel made inside it.
+    std::shared_ptr<std::function<void(stream_event)>> f_;
     std::shared_ptr<peer_counters> counters_;
     bool ok_ = false; // the status is 200
 };
--- a/src/adapters/peer/peer_acceptor.cpp
+++ b/src/adapters/peer/peer_acceptor.cpp
@@ -22,7 +22,7 @@
 peer_acceptor::peer_acceptor(asio::io_context& io,
                              peer_link_options const& options,
                              peer_handler handler)
-    : options_(options),
+    : io_(io), options_(options),
       handler_(std::make_shared<peer_handler const>(std::move(handler))),
       counters_(std::make_shared<peer_counters>()), acceptor_(io), retry_(io)
 {
@@ -85,8 +85,25 @@
     session->start();
 }
 
+// Connections that the kernel has already accepted get a GOAWAY as well.
+// Closing the listening socket would reset them, and their requests would
+// count as possibly run.
+void peer_acceptor::accept_pending()
+{
+    for (;;) {
+        boost::system::error_code ec;
+        tcp::socket socket(io_);
+        acceptor_.accept(socket, ec);
+        if (ec) {
+            return;
+        }
+        add(std::move(socket));
+    }
+}
+
 void peer_acceptor::drain()
 {
+    accept_pending();
     boost::system::error_code ignored;
     acceptor_.close(ignored);
     retry_.cancel();
--- a/src/adapters/peer/peer_acceptor.hpp
+++ b/src/adapters/peer/peer_acceptor.hpp
@@ -31,8 +31,10 @@
 private:
     void accept();
     void accept_later();
+    void accept_pending();
     void add(boost::asio::ip::tcp::socket socket);
 
+    boost::asio::io_context& io_;
     peer_link_options options_;
     std::shared_ptr<peer_handler const> handler_;
     std::shared_ptr<peer_counters> counters_;
--- a/tests/adapters/peer/peer_link_test.cpp
+++ b/tests/adapters/peer/peer_link_test.cpp
@@ -289,6 +289,18 @@
     LONGS_EQUAL(1, served.size());
 }
 
+// Guards against a request that reaches the listen queue of a draining host
+// being reported as possibly run.
+TEST(peer_link, drain_refuses_connections_that_the_kernel_has_accepted)
+{
+    start();
+    auto const it = open("a");
+    server->drain();
+    CHECK(wait_done(it));
+    CHECK(it->failed && !it->failed->sent);
+    LONGS_EQUAL(0, served.size());
+}
+
 // Guards against a stream that a GOAWAY or a refusal leaves out being
 // reported as possibly run.
 TEST(peer_link, goaway_and_refusal_are_not_sent)
