--- a/src/adapters/settings/yaml_reader.cpp
+++ b/src/adapters/settings/yaml_reader.cpp
@@ -222,6 +222,9 @@
     if (!at.IsDefined()) {
         return;
     }
+    if (at.IsNull()) {
+        return; // "key:" without entries
+    }
     if (!at.IsSequence()) {
         add(at, name(key) + " must be a list");
         return;
--- a/tests/adapters/settings/host_settings_test.cpp
+++ b/tests/adapters/settings/host_settings_test.cpp
@@ -90,6 +90,12 @@
     CHECK(has_fault(faults, 1, "platform is missing"));
 }
 
+// Guards against refusing the first host of a fleet, which has no seeds.
+TEST(host_settings, list_without_entries_is_empty)
+{
+    LONGS_EQUAL(0, faults_of(minimal + "seeds:\nlog: {format: json}\n").size());
+}
+
 // Guards against an exception on text that is not YAML.
 TEST(host_settings, broken_yaml_is_a_fault_with_a_line)
 {
