Read ticket files with a stray comma, and parse sub-answers in one pass

The property test on arbitrary text found that YAML::LoadAll never ends on a text such as ",". Ticket files are now checked for exactly one document with the event parser and read with YAML::Load; the case is a test of its own.

parse_sub_answer built Boost.JSON's value and then scanned the text up to four times. It now checks the syntax with basic_parser and reads the members from the text in one walk.

--- a/src/adapters/codec/json_text.cpp
+++ b/src/adapters/codec/json_text.cpp
@@ -1,5 +1,7 @@
 #include "adapters/codec/json_text.hpp"
 
+#include <boost/json/basic_parser_impl.hpp>
+
 #include <algorithm>
 #include <array>
 #include <cassert>
@@ -32,6 +34,37 @@
     }
 }
 
+// Takes the events of a parser and keeps nothing.
+struct syntax_check
+{
+    using error_code = boost::json::error_code;
+    using string_view = boost::json::string_view;
+
+    static constexpr std::size_t max_object_size = SIZE_MAX;
+    static constexpr std::size_t max_array_size = SIZE_MAX;
+    static constexpr std::size_t max_key_size = SIZE_MAX;
+    static constexpr std::size_t max_string_size = SIZE_MAX;
+
+    bool on_document_begin(error_code&) { return true; }
+    bool on_document_end(error_code&) { return true; }
+    bool on_object_begin(error_code&) { return true; }
+    bool on_object_end(std::size_t, error_code&) { return true; }
+    bool on_array_begin(error_code&) { return true; }
+    bool on_array_end(std::size_t, error_code&) { return true; }
+    bool on_key_part(string_view, std::size_t, error_code&) { return true; }
+    bool on_key(string_view, std::size_t, error_code&) { return true; }
+    bool on_string_part(string_view, std::size_t, error_code&) { return true; }
+    bool on_string(string_view, std::size_t, error_code&) { return true; }
+    bool on_number_part(string_view, error_code&) { return true; }
+    bool on_int64(std::int64_t, string_view, error_code&) { return true; }
+    bool on_uint64(std::uint64_t, string_view, error_code&) { return true; }
+    bool on_double(double, string_view, error_code&) { return true; }
+    bool on_bool(bool, error_code&) { return true; }
+    bool on_null(error_code&) { return true; }
+    bool on_comment_part(string_view, error_code&) { return true; }
+    bool on_comment(string_view, error_code&) { return true; }
+};
+
 // Length of the string at the start of the text, with its quotes.
 std::size_t string_length(std::string_view text)
 {
@@ -101,52 +134,96 @@
 {
     std::string out;
     out.reserve(text.size());
+    std::size_t begin = 0; // of the run that has not been copied
     std::size_t i = 0;
     while (i < text.size()) {
-        std::size_t n = 1;
-        if (text[i] == '"') {
-            n = string_length(text.substr(i));
-            out.append(text.substr(i, n));
+        char const c = text[i];
+        if (c == '"') {
+            i += string_length(text.substr(i));
+            continue;
         }
-        else if (json_space.find(text[i]) == std::string_view::npos) {
-            out += text[i];
+        if (c == ' ' || c == '\n' || c == '\r' || c == '\t') {
+            out.append(text.substr(begin, i - begin));
+            begin = i + 1;
         }
-        i += n;
+        ++i;
     }
+    out.append(text.substr(begin));
     return out;
 }
 
+bool valid_json(std::string_view text)
+{
+    boost::json::basic_parser<syntax_check> parser(
+        (boost::json::parse_options()));
+    boost::json::error_code ec;
+    auto const n = parser.write_some(false, text.data(), text.size(), ec);
+    return !ec && n == text.size();
+}
+
 json_walk::json_walk(std::string_view text) : rest_(text)
 {
     skip_space();
-    if (rest_.empty()) {
-        return;
-    }
-    object_ = rest_.front() == '{';
-    rest_.remove_prefix(1);
+    object_ = rest_.starts_with('{');
+    rest_.remove_prefix(rest_.empty() ? 0 : 1);
+}
+
+json_walk::json_walk(json_walk* parent) : json_walk(parent->rest_)
+{
+    parent_ = parent;
 }
 
 bool json_walk::next()
 {
+    value();
     skip_space();
-    if (!rest_.empty() && rest_.front() == ',') {
+    if (rest_.starts_with(',')) {
         rest_.remove_prefix(1);
         skip_space();
     }
     if (rest_.empty() || rest_.front() == '}' || rest_.front() == ']') {
-        return false;
+        return end();
     }
-    if (object_) {
-        auto const quoted = take_value();
-        name_ = quoted.substr(1, quoted.size() - 2);
-        skip_space();
-        rest_.remove_prefix(1); // the colon
-        skip_space();
+    if (object_ && !read_name()) {
+        return end();
+    }
+    taken_ = false;
+    return true;
+}
+
+bool json_walk::end()
+{
+    rest_.remove_prefix(rest_.empty() ? 0 : 1);
+    if (parent_ != nullptr) {
+        parent_->rest_ = rest_;
+        parent_->taken_ = true;
+        parent_ = nullptr;
+    }
+    return false;
+}
+
+bool json_walk::read_name()
+{
+    auto const quoted = take_value();
+    skip_space();
+    if (quoted.size() < 2 || rest_.empty()) {
+        return false;
     }
-    value_ = take_value();
+    name_ = quoted.substr(1, quoted.size() - 2);
+    rest_.remove_prefix(1); // the colon
+    skip_space();
     return true;
 }
 
+std::string_view json_walk::value()
+{
+    if (!taken_) {
+        value_ = take_value();
+        taken_ = true;
+    }
+    return value_;
+}
+
 void json_walk::skip_space()
 {
     auto const n = rest_.find_first_not_of(json_space);
--- a/src/adapters/codec/ticket_file.cpp
+++ b/src/adapters/codec/ticket_file.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/ip/address.hpp>
 
+#include <yaml-cpp/anchor.h>
+#include <yaml-cpp/eventhandler.h>
 #include <yaml-cpp/yaml.h>
 
 #include <algorithm>
@@ -11,6 +13,7 @@
 #include <cmath>
 #include <map>
 #include <set>
+#include <sstream>
 
 namespace snipemill {
 
@@ -26,6 +29,40 @@
     return mark.is_null() ? 0 : mark.line + 1;
 }
 
+// Takes the events of a document and keeps nothing.
+class no_events : public YAML::EventHandler
+{
+public:
+    using mark = YAML::Mark;
+    using anchor = YAML::anchor_t;
+    using style = YAML::EmitterStyle::value;
+
+    void OnDocumentStart(mark const&) override {}
+    void OnDocumentEnd() override {}
+    void OnNull(mark const&, anchor) override {}
+    void OnAlias(mark const&, anchor) override {}
+    void OnScalar(mark const&, std::string const&, anchor,
+                  std::string const&) override
+    {}
+    void OnSequenceStart(mark const&, std::string const&, anchor,
+                         style) override
+    {}
+    void OnSequenceEnd() override {}
+    void OnMapStart(mark const&, std::string const&, anchor, style) override {}
+    void OnMapEnd() override {}
+};
+
+// Whether the text holds exactly one document. YAML::LoadAll is not used: it
+// finds documents without end in a text such as ",".
+bool has_one_document(std::string const& text)
+{
+    std::istringstream in(text);
+    YAML::Parser parser(in);
+    no_events events;
+    return parser.HandleNextDocument(events) &&
+           !parser.HandleNextDocument(events);
+}
+
 // Collects faults; the file is read to its end in any case.
 struct fault_list
 {
@@ -386,12 +423,12 @@
     fault_list faults;
     ticket t;
     try {
-        auto const documents = YAML::LoadAll(std::string(text));
-        if (documents.size() != 1) {
+        std::string const copy(text);
+        if (!has_one_document(copy)) {
             return std::vector<parse_fault>{
                 {0, "a ticket file must hold one document"}};
         }
-        t = read_ticket(documents.front(), faults);
+        t = read_ticket(YAML::Load(copy), faults);
     }
     catch (YAML::Exception const& e) {
         faults.faults.push_back({line_of(e.mark), e.msg});
--- a/src/adapters/codec/upstream_json.cpp
+++ b/src/adapters/codec/upstream_json.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/parse.hpp>
 
 #include <array>
+#include <charconv>
 #include <cstddef>
 
 namespace snipemill {
@@ -48,82 +49,160 @@
     return v == nullptr ? nullptr : v->if_array();
 }
 
-// with_matches: the member "matches" has to be there.
-bool read_partitions(json::object const& o, bool with_matches,
-                     std::vector<partition_part>& out)
+template <class T>
+bool read_whole(std::string_view text, T& out)
 {
-    auto const* items = array_member(o, "partitions");
-    if (items == nullptr) {
+    auto const* end = text.data() + text.size();
+    auto const [ptr, ec] = std::from_chars(text.data(), end, out);
+    return ec == std::errc() && ptr == end;
+}
+
+bool read_text(std::string_view text, std::string& out)
+{
+    if (!text.starts_with('"')) {
         return false;
     }
-    out.reserve(items->size());
-    for (auto const& it : *items) {
-        auto const* item = it.if_object();
-        partition_part part;
-        if (item == nullptr || !read_member(*item, "id", part.id.value) ||
-            !read_member(*item, "documents", part.documents) ||
-            (with_matches && !read_member(*item, "matches", part.matches))) {
-            return false;
+    if (text.find('\\') == std::string_view::npos) {
+        out = text.substr(1, text.size() - 2);
+        return true;
+    }
+    json::error_code ec;
+    auto const v = json::parse(text, ec);
+    return !ec && read_value(v, out);
+}
+
+bool read_rank(std::string_view text, double& out)
+{
+    auto const number = number_of(text);
+    out = number.value_or(0);
+    return number.has_value();
+}
+
+bool read_body(std::string_view text, std::string& out)
+{
+    out = compact_json(text);
+    return text.starts_with('{');
+}
+
+// Members that were read, as bits; each reader below names its own.
+using member_set = unsigned;
+
+// Reads the member into the set's bit when read() succeeds.
+template <class Read>
+void take(member_set& found, unsigned bit, Read read)
+{
+    found = read() ? found | (1U << bit) : found & ~(1U << bit);
+}
+
+bool read_part(json_walk& walk, partition_part& out)
+{
+    member_set found = 0;
+    while (walk.next()) {
+        auto const name = walk.name();
+        auto const text = walk.value();
+        if (name == "id") {
+            take(found, 0, [&] { return read_whole(text, out.id.value); });
+        }
+        else if (name == "documents") {
+            take(found, 1, [&] { return read_whole(text, out.documents); });
+        }
+        else if (name == "matches") {
+            take(found, 2, [&] { return read_whole(text, out.matches); });
         }
-        out.push_back(part);
     }
-    return true;
+    return found == 7;
 }
 
-// Takes rank and body from the source text, where they are exact.
-bool read_record_text(std::string_view text, record& out)
+bool read_record(json_walk& walk, record& out)
 {
-    bool has_rank = false;
-    bool has_body = false;
-    for (json_walk walk(text); walk.next();) {
-        if (walk.name() == "rank") {
-            auto const rank = number_of(walk.value());
-            out.rank = rank.value_or(0);
-            has_rank = rank.has_value();
+    member_set found = 0;
+    while (walk.next()) {
+        auto const name = walk.name();
+        auto const text = walk.value();
+        if (name == "key") {
+            take(found, 0, [&] { return read_text(text, out.key); });
         }
-        else if (walk.name() == "body") {
-            out.body = compact_json(walk.value());
-            has_body = out.body.starts_with('{');
+        else if (name == "rank") {
+            take(found, 1, [&] { return read_rank(text, out.rank); });
+        }
+        else if (name == "partition") {
+            take(found, 2,
+                 [&] { return read_whole(text, out.partition.value); });
+        }
+        else if (name == "body") {
+            take(found, 3, [&] { return read_body(text, out.body); });
         }
     }
-    return has_rank && has_body;
+    return found == 15;
 }
 
-bool read_records(json::array const& items, std::string_view text,
-                  std::vector<record>& out)
+// Reads the current value of the walk as an array of objects.
+template <class T, class Read>
+bool read_objects(json_walk& walk, std::vector<T>& out, Read read)
 {
-    out.reserve(items.size());
-    json_walk walk(text);
-    for (auto const& it : items) {
-        auto const* item = it.if_object();
-        auto& r = out.emplace_back();
-        if (!walk.next() || item == nullptr ||
-            !read_member(*item, "key", r.key) ||
-            !read_member(*item, "partition", r.partition.value) ||
-            !read_record_text(walk.value(), r)) {
+    out.clear();
+    if (!walk.value_is_array()) {
+        return false;
+    }
+    json_walk items(&walk);
+    while (items.next()) {
+        if (!items.value_is_object()) {
+            return false;
+        }
+        json_walk members(&items);
+        if (!read(members, out.emplace_back())) {
             return false;
         }
     }
     return true;
 }
 
-std::string_view member_text(std::string_view object, std::string_view name)
+bool read_answer(json_walk& walk, sub_answer& out)
 {
-    std::string_view found = "[]";
-    for (json_walk walk(object); walk.next();) {
-        if (walk.name() == name) {
-            found = walk.value();
+    member_set found = 0;
+    while (walk.next()) {
+        auto const name = walk.name();
+        if (name == "version") {
+            take(found, 0,
+                 [&] { return read_whole(walk.value(), out.version.value); });
+        }
+        else if (name == "partition_count") {
+            take(found, 1,
+                 [&] { return read_whole(walk.value(), out.partition_count); });
+        }
+        else if (name == "partitions") {
+            if (!read_objects(walk, out.partitions, read_part)) {
+                return false;
+            }
+            found |= 1U << 2;
+        }
+        else if (name == "records") {
+            if (!read_objects(walk, out.records, read_record)) {
+                return false;
+            }
+            found |= 1U << 3;
         }
     }
-    return found;
+    return found == 15;
 }
 
 bool read_held(json::value const& v, held_version& out)
 {
     auto const* o = v.if_object();
-    return o != nullptr && read_member(*o, "version", out.version.value) &&
-           read_member(*o, "partition_count", out.partition_count) &&
-           read_partitions(*o, false, out.partitions);
+    auto const* items = o == nullptr ? nullptr : array_member(*o, "partitions");
+    if (items == nullptr || !read_member(*o, "version", out.version.value) ||
+        !read_member(*o, "partition_count", out.partition_count)) {
+        return false;
+    }
+    for (auto const& it : *items) {
+        auto const* item = it.if_object();
+        auto& part = out.partitions.emplace_back();
+        if (item == nullptr || !read_member(*item, "id", part.id.value) ||
+            !read_member(*item, "documents", part.documents)) {
+            return false;
+        }
+    }
+    return true;
 }
 
 } // namespace
@@ -144,20 +223,13 @@
     return out;
 }
 
+// Checks the syntax first and then reads the members from the text: building
+// Boost.JSON's value takes longer than both.
 std::optional<sub_answer> parse_sub_answer(std::string_view body)
 {
-    parsed_object const parsed(body);
-    auto const* o = parsed.get();
-    if (o == nullptr) {
-        return std::nullopt;
-    }
     sub_answer answer;
-    auto const* records = array_member(*o, "records");
-    if (records == nullptr ||
-        !read_member(*o, "version", answer.version.value) ||
-        !read_member(*o, "partition_count", answer.partition_count) ||
-        !read_partitions(*o, true, answer.partitions) ||
-        !read_records(*records, member_text(body, "records"), answer.records)) {
+    json_walk walk(body);
+    if (!valid_json(body) || !walk.of_object() || !read_answer(walk, answer)) {
         return std::nullopt;
     }
     return answer;
--- a/tests/adapters/codec/config_json_test.cpp
+++ b/tests/adapters/codec/config_json_test.cpp
@@ -145,10 +145,12 @@
                   {25, "\"service/s\" twice"}});
 }
 
-// Guards against a crash on text that is no ticket at all.
+// Guards against a crash or an endless loop on text that is no ticket at all.
 TEST(config_json, other_texts_are_faults)
 {
     check_faults("", {{0, "one document"}});
+    check_faults(",", {{0, "one document"}});
+    check_faults("a: 1\n---\nb: 2\n", {{0, "one document"}});
     check_faults("a: [\n", {{2, ""}});
     check_faults("- 1\n", {{1, "must hold a map"}});
     check_faults("author: a\nreason: \xff\nobjects: []\n", {{2, "UTF-8"}});
