Carry failures of commands through Boost.LEAF

Cause: each command printed its own failures and mapped them to exit codes, which stood in eight places. Change: commands return leaf::result<int>; typed failures are printed and mapped to exit codes once, in main(). Conclusion: a new command only states what it needs.

--- a/src/adapters/settings/yaml_reader.cpp
+++ b/src/adapters/settings/yaml_reader.cpp
@@ -14,9 +14,9 @@
     return !ec;
 }
 
-yaml_reader::yaml_reader(YAML::Node node, std::string path,
+yaml_reader::yaml_reader(YAML::Node const& node, std::string path,
                          std::vector<settings_fault>& faults)
-    : node_(std::move(node)), path_(std::move(path)), faults_(&faults)
+    : node_(node), path_(std::move(path)), faults_(&faults)
 {
     if (!node_.IsMap() && !node_.IsNull()) {
         add(node_, (path_.empty() ? "the file" : path_) + " must be a map");
--- a/src/adapters/settings/yaml_reader.hpp
+++ b/src/adapters/settings/yaml_reader.hpp
@@ -38,7 +38,7 @@
 {
 public:
     // path names the map in reasons, for example "listen".
-    yaml_reader(YAML::Node node, std::string path,
+    yaml_reader(YAML::Node const& node, std::string path,
                 std::vector<settings_fault>& faults);
 
     bool has(std::string const& key) const;
--- a/src/app/batch_router.cpp
+++ b/src/app/batch_router.cpp
@@ -49,7 +49,7 @@
     return peer;
 }
 
-peer_handle batch_router::open_describe(describe_request request,
+peer_handle batch_router::open_describe(describe_request const& request,
                                         description_sink sink)
 {
     auto const peer = next_handle();
--- a/src/app/batch_router.hpp
+++ b/src/app/batch_router.hpp
@@ -48,7 +48,8 @@
     batch_router(std::uint32_t lane, owner_lanes& owners);
 
     peer_handle open_batch(query_batch batch, part_sink sink);
-    peer_handle open_describe(describe_request request, description_sink sink);
+    peer_handle open_describe(describe_request const& request,
+                              description_sink sink);
     peer_handle open_submit(submit_forward request, submit_sink sink);
 
     // Cancels targets of the batch with this request id.
--- a/src/cli/arguments.cpp
+++ b/src/cli/arguments.cpp
@@ -1,13 +1,14 @@
 #include "cli/arguments.hpp"
 
-#include "adapters/settings/yaml_reader.hpp"
-#include "cli/commands.hpp"
-
 #include <charconv>
-#include <iostream>
 
 namespace snipemill::cli {
 
+std::string to_string(endpoint const& e)
+{
+    return e.ip + ":" + std::to_string(e.port);
+}
+
 std::optional<endpoint> parse_endpoint(std::string const& text)
 {
     auto const colon = text.rfind(':');
@@ -25,31 +26,25 @@
     return out;
 }
 
-void add_common_options(cxxopts::Options& options)
+leaf::result<cxxopts::ParseResult> parse_arguments(cxxopts::Options& options,
+                                                   int argc, char** argv)
 {
     options.add_options()("output", "text or json",
                           cxxopts::value<std::string>()->default_value("text"))(
         "h,help", "show this help");
-}
-
-std::variant<cxxopts::ParseResult, int>
-parse_arguments(cxxopts::Options& options, int argc, char** argv)
-{
     try {
         auto result = options.parse(argc, argv);
         if (result.count("help") > 0) {
-            std::cout << options.help();
-            return exit_ok;
+            return leaf::new_error(help_requested{options.help()});
         }
         return result;
     }
     catch (cxxopts::exceptions::exception const& e) {
-        std::cerr << "snipemill: " << e.what() << '\n';
-        return exit_usage;
+        return leaf::new_error(usage_error{e.what()});
     }
 }
 
-std::optional<output_format> output_of(cxxopts::ParseResult const& args)
+leaf::result<output_format> output_of(cxxopts::ParseResult const& args)
 {
     auto const text = args["output"].as<std::string>();
     if (text == "text") {
@@ -58,22 +53,27 @@
     if (text == "json") {
         return output_format::json;
     }
-    std::cerr << "snipemill: --output must be text or json\n";
-    return std::nullopt;
+    return leaf::new_error(usage_error{"--output must be text or json"});
 }
 
-std::optional<endpoint> endpoint_of(cxxopts::ParseResult const& args,
-                                    std::string const& name)
+leaf::result<std::string> required(cxxopts::ParseResult const& args,
+                                   std::string const& name)
 {
     if (args.count(name) == 0) {
-        std::cerr << "snipemill: --" << name << " IP:PORT is required\n";
-        return std::nullopt;
+        return leaf::new_error(usage_error{"--" + name + " is required"});
     }
-    auto const out = parse_endpoint(args[name].as<std::string>());
+    return args[name].as<std::string>();
+}
+
+leaf::result<endpoint> endpoint_of(cxxopts::ParseResult const& args,
+                                   std::string const& name)
+{
+    BOOST_LEAF_AUTO(text, required(args, name));
+    auto const out = parse_endpoint(text);
     if (!out) {
-        std::cerr << "snipemill: --" << name << " must be IP:PORT\n";
+        return leaf::new_error(usage_error{"--" + name + " must be IP:PORT"});
     }
-    return out;
+    return *out;
 }
 
 } // namespace snipemill::cli
--- a/src/cli/arguments.hpp
+++ b/src/cli/arguments.hpp
@@ -1,11 +1,12 @@
 #pragma once
 
+#include "cli/errors.hpp"
+
 #include <cxxopts.hpp>
 
 #include <cstdint>
 #include <optional>
 #include <string>
-#include <variant>
 
 namespace snipemill::cli {
 
@@ -15,6 +16,8 @@
     std::uint16_t port = 0;
 };
 
+std::string to_string(endpoint const& e);
+
 // Parses "ip:port".
 std::optional<endpoint> parse_endpoint(std::string const& text);
 
@@ -24,19 +27,19 @@
     json
 };
 
-// Adds --output and --help to a command's options.
-void add_common_options(cxxopts::Options& options);
+// Adds --output and --help to a command's options and parses the arguments.
+leaf::result<cxxopts::ParseResult> parse_arguments(cxxopts::Options& options,
+                                                   int argc, char** argv);
 
-// Parses the arguments. Returns an exit code instead when --help was given or
-// the arguments are wrong; the reason has then been printed.
-std::variant<cxxopts::ParseResult, int>
-parse_arguments(cxxopts::Options& options, int argc, char** argv);
+// The format that --output names.
+leaf::result<output_format> output_of(cxxopts::ParseResult const& args);
 
-// The format that --output names; no value after printing the reason.
-std::optional<output_format> output_of(cxxopts::ParseResult const& args);
+// Value of a required option.
+leaf::result<std::string> required(cxxopts::ParseResult const& args,
+                                   std::string const& name);
 
-// The endpoint in the named option; no value after printing the reason.
-std::optional<endpoint> endpoint_of(cxxopts::ParseResult const& args,
-                                    std::string const& name);
+// The endpoint in a required option.
+leaf::result<endpoint> endpoint_of(cxxopts::ParseResult const& args,
+                                   std::string const& name);
 
 } // namespace snipemill::cli
--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "cli/errors.hpp"
+
 namespace snipemill::cli {
 
 // Exit codes of the program; docs/cli.md lists them for operators.
@@ -11,14 +13,14 @@
 inline constexpr int exit_not_in_force = 5; // ticket wait ran out of time
 
 // Each command takes its own name as argv[0] and returns an exit code.
-int run_serve(int argc, char** argv);
-int run_check_config(int argc, char** argv);
-int run_query(int argc, char** argv);
-int run_submit(int argc, char** argv);
-int run_status(int argc, char** argv);
-int run_ticket(int argc, char** argv);
-int run_timeline(int argc, char** argv);
-int run_crashes(int argc, char** argv);
-int run_version(int argc, char** argv);
+leaf::result<int> run_serve(int argc, char** argv);
+leaf::result<int> run_check_config(int argc, char** argv);
+leaf::result<int> run_query(int argc, char** argv);
+leaf::result<int> run_submit(int argc, char** argv);
+leaf::result<int> run_status(int argc, char** argv);
+leaf::result<int> run_ticket(int argc, char** argv);
+leaf::result<int> run_timeline(int argc, char** argv);
+leaf::result<int> run_crashes(int argc, char** argv);
+leaf::result<int> run_version(int argc, char** argv);
 
 } // namespace snipemill::cli
--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -47,13 +47,11 @@
     return std::move(value.as_object());
 }
 
-std::optional<std::vector<fleet_host>> fetch_fleet(endpoint const& first)
+leaf::result<std::vector<fleet_host>> fetch_fleet(endpoint const& first)
 {
-    auto const result = call(first, status_request);
-    auto own = parse_object(result);
+    auto own = parse_object(call(first, status_request));
     if (!own) {
-        report_failure(result);
-        return std::nullopt;
+        return leaf::new_error(no_answer{.endpoint = to_string(first)});
     }
     std::vector<fleet_host> hosts;
     std::vector<endpoint> endpoints;
--- a/src/cli/fleet.hpp
+++ b/src/cli/fleet.hpp
@@ -23,9 +23,8 @@
 };
 
 // Asks one host for the members of the fleet and then each of them for its
-// status. No value when the first host does not answer; the reason has then
-// been printed.
-std::optional<std::vector<fleet_host>> fetch_fleet(endpoint const& first);
+// status. Fails when the first host does not answer.
+leaf::result<std::vector<fleet_host>> fetch_fleet(endpoint const& first);
 
 // Parses a response body as a JSON object.
 std::optional<boost::json::object> parse_object(http_result const& result);
--- a/src/cli/http_call.cpp
+++ b/src/cli/http_call.cpp
@@ -1,10 +1,7 @@
 #include "cli/http_call.hpp"
 
-#include "cli/commands.hpp"
-
 #include <boost/asio/io_context.hpp>
 
-#include <iostream>
 #include <memory>
 #include <utility>
 
@@ -46,18 +43,18 @@
     return out;
 }
 
-int report_failure(http_result const& result)
+leaf::result<std::string> call_ok(endpoint const& to, http_request request)
 {
-    if (auto const* response = std::get_if<http_response>(&result)) {
-        std::cerr << response->body << '\n';
-        return exit_failed;
+    auto result = call(to, std::move(request));
+    if (auto const* failed = std::get_if<http_failed>(&result)) {
+        return leaf::new_error(
+            no_answer{.endpoint = to_string(to), .sent = failed->sent});
+    }
+    auto& response = std::get<http_response>(result);
+    if (response.status != 200) {
+        return leaf::new_error(request_refused{std::move(response.body)});
     }
-    auto const& failed = std::get<http_failed>(result);
-    std::cerr << "snipemill: no answer ("
-              << (failed.sent ? "the request may have run"
-                              : "the request did not run")
-              << ")\n";
-    return exit_unavailable;
+    return std::move(response.body);
 }
 
 } // namespace snipemill::cli
--- a/src/cli/http_call.hpp
+++ b/src/cli/http_call.hpp
@@ -18,8 +18,7 @@
                                   http_request const& request,
                                   duration timeout = from_ms(3000));
 
-// Prints the JSON error body of a response, or that there was no answer, and
-// returns the exit code that goes with it.
-int report_failure(http_result const& result);
+// Sends one request; returns the body of a 200, else a failure.
+leaf::result<std::string> call_ok(endpoint const& to, http_request request);
 
 } // namespace snipemill::cli
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -1,5 +1,7 @@
 #include "cli/commands.hpp"
 
+#include <boost/leaf/handle_errors.hpp>
+
 #include <array>
 #include <iostream>
 #include <string_view>
@@ -7,11 +9,12 @@
 namespace {
 
 using namespace snipemill::cli;
+namespace leaf = boost::leaf;
 
 struct command
 {
     std::string_view name;
-    int (*run)(int argc, char** argv);
+    leaf::result<int> (*run)(int argc, char** argv);
     std::string_view summary;
 };
 
@@ -38,6 +41,47 @@
     out << "\nsnipemill COMMAND --help describes the options of a command.\n";
 }
 
+// Runs a command; prints its failure and returns the exit code.
+int run(command const& it, int argc, char** argv)
+{
+    return leaf::try_handle_all(
+        [&] { return it.run(argc, argv); },
+        [](help_requested const& e) {
+            std::cout << e.text;
+            return exit_ok;
+        },
+        [](usage_error const& e) {
+            std::cerr << "snipemill: " << e.reason << '\n';
+            return exit_usage;
+        },
+        [](file_faults const& e) {
+            for (auto const& fault : e.faults) {
+                std::cerr << e.file << ':' << fault.line << ": " << fault.reason
+                          << '\n';
+            }
+            return exit_usage;
+        },
+        [](request_refused const& e) {
+            std::cerr << e.body << '\n';
+            return exit_failed;
+        },
+        [](no_answer const& e) {
+            std::cerr << "snipemill: no answer from " << e.endpoint << " ("
+                      << (e.sent ? "the request may have run"
+                                 : "the request did not run")
+                      << ")\n";
+            return exit_unavailable;
+        },
+        [](platform_unreadable const&) {
+            std::cerr << "snipemill: the platform cannot be read\n";
+            return exit_unavailable;
+        },
+        [] {
+            std::cerr << "snipemill: unexpected failure\n";
+            return exit_failed;
+        });
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -53,7 +97,7 @@
     }
     for (auto const& it : commands) {
         if (it.name == name) {
-            return it.run(argc - 1, argv + 1);
+            return run(it, argc - 1, argv + 1);
         }
     }
     std::cerr << "snipemill: unknown command '" << name << "'\n";
--- a/src/cli/platform_access.cpp
+++ b/src/cli/platform_access.cpp
@@ -28,38 +28,37 @@
     return out;
 }
 
-std::optional<head_and_state> platform_access::read()
+leaf::result<head_and_state> platform_access::read()
 {
     head_and_state out;
     // The head first: a state that is read after it is at least as new as the
     // head's base.
-    auto const head = wait<platform_object>(
-        [&](auto f) { client_.get(head_key, std::move(f)); });
-    auto const state = wait<platform_object>(
-        [&](auto f) { client_.get(state_key, std::move(f)); });
-    if (auto const* object = std::get_if<platform_object>(&head)) {
-        auto parsed = parse_head(object->value);
-        if (!parsed) {
-            return std::nullopt;
-        }
-        out.head_version = object->version;
-        out.head = std::move(*parsed);
-    }
-    else if (std::get<platform_error>(head) != platform_error::not_found) {
-        return std::nullopt;
-    }
-    if (auto const* object = std::get_if<platform_object>(&state)) {
-        auto parsed = parse_snapshot(object->value);
-        if (!parsed) {
-            return std::nullopt;
+    BOOST_LEAF_ASSIGN(out.head_version,
+                      read_object(head_key, parse_head, out.head));
+    BOOST_LEAF_ASSIGN(out.state_version,
+                      read_object(state_key, parse_snapshot, out.state));
+    return out;
+}
+
+template <class T>
+leaf::result<object_version> platform_access::read_object(
+    char const* key, std::optional<T> (*parse)(std::string_view), T& out)
+{
+    auto const result =
+        wait<platform_object>([&](auto f) { client_.get(key, std::move(f)); });
+    if (auto const* ec = std::get_if<platform_error>(&result)) {
+        if (*ec == platform_error::not_found) {
+            return object_version{0};
         }
-        out.state_version = object->version;
-        out.state = std::move(*parsed);
+        return leaf::new_error(platform_unreadable{});
     }
-    else if (std::get<platform_error>(state) != platform_error::not_found) {
-        return std::nullopt;
+    auto const& object = std::get<platform_object>(result);
+    auto parsed = parse(object.value);
+    if (!parsed) {
+        return leaf::new_error(platform_unreadable{});
     }
-    return out;
+    out = std::move(*parsed);
+    return object.version;
 }
 
 write_result platform_access::put(std::string key, std::string value,
--- a/src/cli/platform_access.hpp
+++ b/src/cli/platform_access.hpp
@@ -17,14 +17,18 @@
     explicit platform_access(endpoint const& platform);
 
     // config/head and config/state; objects that do not exist are empty with
-    // version 0. No value when the platform cannot be read.
-    std::optional<head_and_state> read();
+    // version 0.
+    leaf::result<head_and_state> read();
     write_result write(write_head const& request);
     write_result write(write_state const& request);
 
 private:
     template <class T, class F>
     platform_result<T> wait(F start);
+    template <class T>
+    leaf::result<object_version>
+    read_object(char const* key, std::optional<T> (*parse)(std::string_view),
+                T& out);
     write_result put(std::string key, std::string value,
                      object_version version);
 
--- a/src/cli/query.cpp
+++ b/src/cli/query.cpp
@@ -17,15 +17,15 @@
 
 namespace json = boost::json;
 
-// Parses an option that holds a JSON object; prints the reason on failure.
-std::optional<json::object> object_option(cxxopts::ParseResult const& args,
-                                          std::string const& name)
+// Parses an option that holds a JSON object.
+leaf::result<json::object> object_option(cxxopts::ParseResult const& args,
+                                         std::string const& name)
 {
     boost::system::error_code ec;
     auto value = json::parse(args[name].as<std::string>(), ec);
     if (ec || !value.is_object()) {
-        std::cerr << "snipemill: --" << name << " must be a JSON object\n";
-        return std::nullopt;
+        return leaf::new_error(
+            usage_error{"--" + name + " must be a JSON object"});
     }
     return std::move(value.as_object());
 }
@@ -72,9 +72,10 @@
 }
 
 // Members of the query's body that have an option of their own.
-json::object query_body(cxxopts::ParseResult const& args, json::object query)
+json::object query_body(cxxopts::ParseResult const& args,
+                        std::string const& group, json::object query)
 {
-    json::object body{{"group", args["group"].as<std::string>()},
+    json::object body{{"group", group},
                       {"query", std::move(query)},
                       {"offset", args["offset"].as<std::uint32_t>()},
                       {"limit", args["limit"].as<std::uint32_t>()},
@@ -93,7 +94,7 @@
 
 } // namespace
 
-int run_query(int argc, char** argv)
+leaf::result<int> run_query(int argc, char** argv)
 {
     cxxopts::Options options("snipemill query",
                              "Sends a query to an entry host.");
@@ -112,40 +113,25 @@
         "min-coverage", "fraction that the answer must cover",
         cxxopts::value<double>())("partial",
                                   "accept an answer below min-coverage");
-    add_common_options(options);
-    auto const parsed = parse_arguments(options, argc, argv);
-    if (auto const* code = std::get_if<int>(&parsed)) {
-        return *code;
-    }
-    auto const& args = std::get<cxxopts::ParseResult>(parsed);
-    auto const format = output_of(args);
-    auto const host = endpoint_of(args, "host");
-    auto query = object_option(args, "query");
-    if (!format || !host || !query) {
-        return exit_usage;
-    }
-    if (args.count("group") == 0) {
-        std::cerr << "snipemill: --group is required\n";
-        return exit_usage;
-    }
-    auto const result = call(
-        *host, {.method = "POST",
-                .target = "/v1/query",
-                .body = json::serialize(query_body(args, std::move(*query)))});
-    auto const* response = std::get_if<http_response>(&result);
-    if (response == nullptr || response->status != 200) {
-        return report_failure(result);
-    }
-    if (*format == output_format::json) {
-        std::cout << response->body << '\n';
+    BOOST_LEAF_AUTO(args, parse_arguments(options, argc, argv));
+    BOOST_LEAF_AUTO(format, output_of(args));
+    BOOST_LEAF_AUTO(host, endpoint_of(args, "host"));
+    BOOST_LEAF_AUTO(group, required(args, "group"));
+    BOOST_LEAF_AUTO(query, object_option(args, "query"));
+    auto const body = query_body(args, group, std::move(query));
+    BOOST_LEAF_AUTO(answer, call_ok(host, {.method = "POST",
+                                           .target = "/v1/query",
+                                           .body = json::serialize(body)}));
+    if (format == output_format::json) {
+        std::cout << answer << '\n';
     }
     else {
-        print_answer(response->body);
+        print_answer(answer);
     }
     return exit_ok;
 }
 
-int run_submit(int argc, char** argv)
+leaf::result<int> run_submit(int argc, char** argv)
 {
     cxxopts::Options options(
         "snipemill submit", "Sends a request that may not be repeated. Sending "
@@ -158,37 +144,22 @@
                                        cxxopts::value<std::string>())(
         "request", "the request, a JSON object",
         cxxopts::value<std::string>()->default_value("{}"));
-    add_common_options(options);
-    auto const parsed = parse_arguments(options, argc, argv);
-    if (auto const* code = std::get_if<int>(&parsed)) {
-        return *code;
-    }
-    auto const& args = std::get<cxxopts::ParseResult>(parsed);
-    auto const host = endpoint_of(args, "host");
-    auto request = object_option(args, "request");
-    if (!host || !request || !output_of(args)) {
-        return exit_usage;
-    }
-    if (args.count("group") == 0 || args.count("key") == 0) {
-        std::cerr << "snipemill: --group and --key are required\n";
-        return exit_usage;
-    }
-    json::object body{{"group", args["group"].as<std::string>()},
-                      {"request", std::move(*request)}};
+    BOOST_LEAF_AUTO(args, parse_arguments(options, argc, argv));
+    BOOST_LEAF_CHECK(output_of(args));
+    BOOST_LEAF_AUTO(host, endpoint_of(args, "host"));
+    BOOST_LEAF_AUTO(group, required(args, "group"));
+    BOOST_LEAF_AUTO(key, required(args, "key"));
+    BOOST_LEAF_AUTO(request, object_option(args, "request"));
+    json::object body{{"group", group}, {"request", std::move(request)}};
     if (args.count("service") > 0) {
         body["service"] = args["service"].as<std::string>();
     }
-    http_request const message{
-        .method = "POST",
-        .target = "/v1/submit",
-        .headers = {{"idempotency-key", args["key"].as<std::string>()}},
-        .body = json::serialize(body)};
-    auto const result = call(*host, message);
-    auto const* response = std::get_if<http_response>(&result);
-    if (response == nullptr || response->status != 200) {
-        return report_failure(result);
-    }
-    std::cout << response->body << '\n';
+    BOOST_LEAF_AUTO(answer,
+                    call_ok(host, {.method = "POST",
+                                   .target = "/v1/submit",
+                                   .headers = {{"idempotency-key", key}},
+                                   .body = json::serialize(body)}));
+    std::cout << answer << '\n';
     return exit_ok;
 }
 
--- a/src/cli/serve.cpp
+++ b/src/cli/serve.cpp
@@ -17,24 +17,27 @@
 
 namespace {
 
-void print_faults(std::string const& file,
-                  std::vector<settings_fault> const& faults,
-                  output_format format)
+void print_faults_json(std::string const& file,
+                       std::vector<settings_fault> const& faults)
 {
-    if (format == output_format::json) {
-        boost::json::array list;
-        for (auto const& it : faults) {
-            list.push_back(boost::json::object{
-                {"file", file}, {"line", it.line}, {"reason", it.reason}});
-        }
-        std::cout << boost::json::serialize(
-                         boost::json::object{{"faults", std::move(list)}})
-                  << '\n';
-        return;
-    }
+    boost::json::array list;
     for (auto const& it : faults) {
-        std::cerr << file << ':' << it.line << ": " << it.reason << '\n';
+        list.push_back(boost::json::object{
+            {"file", file}, {"line", it.line}, {"reason", it.reason}});
     }
+    std::cout << boost::json::serialize(
+                     boost::json::object{{"faults", std::move(list)}})
+              << '\n';
+}
+
+leaf::result<host_settings> load(std::string const& file)
+{
+    auto settings = load_host_settings(file);
+    if (auto* faults = std::get_if<std::vector<settings_fault>>(&settings)) {
+        return leaf::new_error(
+            file_faults{.file = file, .faults = std::move(*faults)});
+    }
+    return std::move(std::get<host_settings>(settings));
 }
 
 int serve(host_settings settings)
@@ -58,32 +61,18 @@
 
 } // namespace
 
-int run_serve(int argc, char** argv)
+leaf::result<int> run_serve(int argc, char** argv)
 {
     cxxopts::Options options("snipemill serve", "Runs an entry host.");
     options.add_options()("config", "settings file in YAML",
                           cxxopts::value<std::string>());
-    add_common_options(options);
-    auto const parsed = parse_arguments(options, argc, argv);
-    if (auto const* code = std::get_if<int>(&parsed)) {
-        return *code;
-    }
-    auto const& args = std::get<cxxopts::ParseResult>(parsed);
-    if (args.count("config") == 0) {
-        std::cerr << "snipemill: --config FILE is required\n";
-        return exit_usage;
-    }
-    auto const file = args["config"].as<std::string>();
-    auto settings = load_host_settings(file);
-    if (auto const* faults =
-            std::get_if<std::vector<settings_fault>>(&settings)) {
-        print_faults(file, *faults, output_format::text);
-        return exit_usage;
-    }
-    return serve(std::move(std::get<host_settings>(settings)));
+    BOOST_LEAF_AUTO(args, parse_arguments(options, argc, argv));
+    BOOST_LEAF_AUTO(file, required(args, "config"));
+    BOOST_LEAF_AUTO(settings, load(file));
+    return serve(std::move(settings));
 }
 
-int run_check_config(int argc, char** argv)
+leaf::result<int> run_check_config(int argc, char** argv)
 {
     cxxopts::Options options("snipemill check-config",
                              "Checks a settings file and reports every fault.");
@@ -91,46 +80,26 @@
                           cxxopts::value<std::string>());
     options.parse_positional("file");
     options.positional_help("FILE");
-    add_common_options(options);
-    auto const parsed = parse_arguments(options, argc, argv);
-    if (auto const* code = std::get_if<int>(&parsed)) {
-        return *code;
-    }
-    auto const& args = std::get<cxxopts::ParseResult>(parsed);
-    auto const format = output_of(args);
-    if (!format || args.count("file") == 0) {
-        std::cerr << "snipemill: check-config needs a FILE\n";
-        return exit_usage;
-    }
-    auto const file = args["file"].as<std::string>();
-    auto const settings = load_host_settings(file);
-    if (auto const* faults =
-            std::get_if<std::vector<settings_fault>>(&settings)) {
-        print_faults(file, *faults, *format);
-        return exit_usage;
-    }
-    if (*format == output_format::json) {
-        std::cout << "{\"faults\":[]}\n";
-    }
-    else {
+    BOOST_LEAF_AUTO(args, parse_arguments(options, argc, argv));
+    BOOST_LEAF_AUTO(format, output_of(args));
+    BOOST_LEAF_AUTO(file, required(args, "file"));
+    if (format == output_format::text) {
+        BOOST_LEAF_CHECK(load(file));
         std::cout << file << ": correct\n";
+        return exit_ok;
     }
-    return exit_ok;
+    auto const settings = load_host_settings(file);
+    auto const* faults = std::get_if<std::vector<settings_fault>>(&settings);
+    print_faults_json(file, faults ? *faults : std::vector<settings_fault>());
+    return faults ? exit_usage : exit_ok;
 }
 
-int run_version(int argc, char** argv)
+leaf::result<int> run_version(int argc, char** argv)
 {
     cxxopts::Options options("snipemill version", "Prints the version.");
-    add_common_options(options);
-    auto const parsed = parse_arguments(options, argc, argv);
-    if (auto const* code = std::get_if<int>(&parsed)) {
-        return *code;
-    }
-    auto const format = output_of(std::get<cxxopts::ParseResult>(parsed));
-    if (!format) {
-        return exit_usage;
-    }
-    if (*format == output_format::json) {
+    BOOST_LEAF_AUTO(args, parse_arguments(options, argc, argv));
+    BOOST_LEAF_AUTO(format, output_of(args));
+    if (format == output_format::json) {
         std::cout << "{\"version\":\"" << version() << "\"}\n";
     }
     else {
--- a/src/cli/status.cpp
+++ b/src/cli/status.cpp
@@ -110,77 +110,22 @@
 
 } // namespace
 
-int run_status(int argc, char** argv)
+leaf::result<int> run_status(int argc, char** argv)
 {
     cxxopts::Options options("snipemill status",
                              "Shows the state of the fleet.");
     options.add_options()("host", "operator endpoint of any host, IP:PORT",
                           cxxopts::value<std::string>());
-    add_common_options(options);
-    auto const parsed = parse_arguments(options, argc, argv);
-    if (auto const* code = std::get_if<int>(&parsed)) {
-        return *code;
-    }
-    auto const& args = std::get<cxxopts::ParseResult>(parsed);
-    auto const format = output_of(args);
-    auto const host = endpoint_of(args, "host");
-    if (!format || !host) {
-        return exit_usage;
-    }
-    auto const fleet = fetch_fleet(*host);
-    if (!fleet) {
-        return exit_unavailable;
-    }
-    if (*format == output_format::json) {
-        print_json(*fleet);
+    BOOST_LEAF_AUTO(args, parse_arguments(options, argc, argv));
+    BOOST_LEAF_AUTO(format, output_of(args));
+    BOOST_LEAF_AUTO(host, endpoint_of(args, "host"));
+    BOOST_LEAF_AUTO(fleet, fetch_fleet(host));
+    if (format == output_format::json) {
+        print_json(fleet);
     }
     else {
-        print_fleet(*fleet);
-    }
-    return exit_ok;
-}
-
-int run_crashes(int argc, char** argv)
-{
-    cxxopts::Options options(
-        "snipemill crashes",
-        "Lists, adds or removes fingerprints of requests that are refused "
-        "because they crash upstreams.");
-    options.add_options()("action", "list, add or remove",
-                          cxxopts::value<std::string>()->default_value("list"))(
-        "fingerprint", "decimal fingerprint", cxxopts::value<std::string>())(
-        "host", "operator endpoint of any host, IP:PORT",
-        cxxopts::value<std::string>());
-    options.parse_positional({"action", "fingerprint"});
-    options.positional_help("list | add FINGERPRINT | remove FINGERPRINT");
-    add_common_options(options);
-    auto const parsed = parse_arguments(options, argc, argv);
-    if (auto const* code = std::get_if<int>(&parsed)) {
-        return *code;
-    }
-    auto const& args = std::get<cxxopts::ParseResult>(parsed);
-    auto const action = args["action"].as<std::string>();
-    auto const host = endpoint_of(args, "host");
-    auto const known =
-        action == "list" || action == "add" || action == "remove";
-    if (!host || !known ||
-        (action != "list" && args.count("fingerprint") == 0)) {
-        std::cerr << "snipemill: usage: crashes list | add FINGERPRINT | "
-                     "remove FINGERPRINT --host IP:PORT\n";
-        return exit_usage;
-    }
-    http_request request{.method = "GET", .target = "/v1/crashes"};
-    if (action != "list") {
-        request.method = action == "add" ? "POST" : "DELETE";
-        request.target +=
-            "?fingerprint=" + args["fingerprint"].as<std::string>();
-    }
-    auto const result = call(*host, request);
-    auto const* response = std::get_if<http_response>(&result);
-    if (response == nullptr || response->status != 200) {
-        return report_failure(result);
+        print_fleet(fleet);
     }
-    std::cout << response->body << '\n';
     return exit_ok;
 }
 
--- a/src/cli/ticket.cpp
+++ b/src/cli/ticket.cpp
@@ -34,21 +34,22 @@
     return out.str();
 }
 
-std::optional<ticket> read_ticket(std::string const& file)
+leaf::result<ticket> read_ticket(std::string const& file)
 {
     std::ifstream in(file, std::ios::binary);
     if (!in) {
-        std::cerr << file << ":0: the file cannot be read\n";
-        return std::nullopt;
+        return leaf::new_error(file_faults{
+            .file = file, .faults = {{0, "the file cannot be read"}}});
     }
     std::ostringstream text;
     text << in.rdbuf();
     auto parsed = parse_ticket_file(text.str());
     if (auto const* faults = std::get_if<std::vector<parse_fault>>(&parsed)) {
+        file_faults out{.file = file, .faults = {}};
         for (auto const& it : *faults) {
-            std::cerr << file << ':' << it.line << ": " << it.reason << '\n';
+            out.faults.push_back({it.line, it.reason});
         }
-        return std::nullopt;
+        return leaf::new_error(std::move(out));
     }
     return std::move(std::get<ticket>(parsed));
 }
@@ -102,20 +103,17 @@
     }
 };
 
-int submit(platform_access& platform, std::string const& file,
-           std::string const& nonce, output_format format)
+leaf::result<int> submit(platform_access& platform, std::string const& file,
+                         std::string const& nonce, output_format format)
 {
-    auto change = read_ticket(file);
-    if (!change) {
-        return exit_usage;
-    }
+    BOOST_LEAF_AUTO(change, read_ticket(file));
     if (!nonce.empty()) {
-        change->nonce = nonce;
+        change.nonce = nonce;
     }
-    if (change->nonce.empty()) {
-        change->nonce = make_nonce();
+    if (change.nonce.empty()) {
+        change.nonce = make_nonce();
     }
-    auto const result = submit_ticket(platform, std::move(*change));
+    auto const result = submit_ticket(platform, std::move(change));
     return std::visit(submission_printer{format}, result);
 }
 
@@ -125,33 +123,25 @@
               << it.author << it.reason << '\n';
 }
 
-int list(platform_access& platform)
+leaf::result<int> list(platform_access& platform)
 {
-    auto const read = platform.read();
-    if (!read) {
-        std::cerr << "snipemill: the platform cannot be read\n";
-        return exit_unavailable;
-    }
-    for (auto const& it : current_config(*read).history) {
+    BOOST_LEAF_AUTO(read, platform.read());
+    for (auto const& it : current_config(read).history) {
         print_summary(it);
     }
     return exit_ok;
 }
 
-int show(platform_access& platform, std::uint64_t number)
+leaf::result<int> show(platform_access& platform, std::uint64_t number)
 {
-    auto const read = platform.read();
-    if (!read) {
-        std::cerr << "snipemill: the platform cannot be read\n";
-        return exit_unavailable;
-    }
-    for (auto const& it : read->head.tickets) {
+    BOOST_LEAF_AUTO(read, platform.read());
+    for (auto const& it : read.head.tickets) {
         if (it.number == number) {
             std::cout << write_ticket(it) << '\n';
             return exit_ok;
         }
     }
-    for (auto const& it : current_config(*read).history) {
+    for (auto const& it : current_config(read).history) {
         if (it.number == number) {
             print_summary(it);
             std::cout << "its objects are part of the whole state\n";
@@ -163,15 +153,12 @@
 }
 
 // Objects that a ticket file would add, change or remove.
-int diff(platform_access& platform, std::string const& file)
+leaf::result<int> diff(platform_access& platform, std::string const& file)
 {
-    auto const change = read_ticket(file);
-    auto const read = platform.read();
-    if (!change || !read) {
-        return change ? exit_unavailable : exit_usage;
-    }
-    auto const state = current_config(*read);
-    for (auto const& it : change->objects) {
+    BOOST_LEAF_AUTO(change, read_ticket(file));
+    BOOST_LEAF_AUTO(read, platform.read());
+    auto const state = current_config(read);
+    for (auto const& it : change.objects) {
         auto const key = object_key(it);
         auto const old = state.objects.find(key);
         if (std::holds_alternative<removed_object>(it)) {
@@ -242,13 +229,10 @@
     }
 }
 
-int status(endpoint const& host, std::uint64_t number)
+leaf::result<int> status(endpoint const& host, std::uint64_t number)
 {
-    auto const fleet = fetch_fleet(host);
-    if (!fleet) {
-        return exit_unavailable;
-    }
-    print_spread(*fleet, number);
+    BOOST_LEAF_AUTO(fleet, fetch_fleet(host));
+    print_spread(fleet, number);
     return exit_ok;
 }
 
@@ -263,74 +247,77 @@
     return true;
 }
 
-int wait(endpoint const& host, std::uint64_t number,
-         std::chrono::milliseconds limit)
+leaf::result<int> wait(endpoint const& host, std::uint64_t number,
+                       std::chrono::milliseconds limit)
 {
     auto const start = std::chrono::steady_clock::now();
     for (;;) {
-        auto const fleet = fetch_fleet(host);
-        if (!fleet) {
-            return exit_unavailable;
-        }
+        BOOST_LEAF_AUTO(fleet, fetch_fleet(host));
         auto const took = std::chrono::steady_clock::now() - start;
-        if (in_force_everywhere(*fleet, number)) {
+        if (in_force_everywhere(fleet, number)) {
             std::cout << "ticket " << number << " is in force on "
-                      << fleet->size() << " hosts\n";
+                      << fleet.size() << " hosts\n";
             return exit_ok;
         }
         if (took > limit) {
-            print_spread(*fleet, number);
+            print_spread(fleet, number);
             return exit_not_in_force;
         }
         std::this_thread::sleep_for(wait_interval);
     }
 }
 
-int usage()
-{
-    std::cerr << "snipemill: usage: ticket submit FILE | show N | list | "
-                 "status N | diff FILE | wait N\n"
-                 "  submit, show, list and diff need --platform IP:PORT\n"
-                 "  status and wait need --host IP:PORT\n";
-    return exit_usage;
-}
-
-std::optional<std::uint64_t> parse_number(std::string const& text)
+leaf::result<std::uint64_t> parse_number(std::string const& text)
 {
     std::uint64_t n = 0;
     auto const* last = text.data() + text.size();
     auto const result = std::from_chars(text.data(), last, n);
-    if (result.ec != std::errc() || result.ptr != last) {
-        return std::nullopt;
+    if (text.empty() || result.ec != std::errc() || result.ptr != last) {
+        return leaf::new_error(usage_error{"a ticket number is required"});
     }
     return n;
 }
 
-int run_on_platform(cxxopts::ParseResult const& args, std::string const& action,
-                    std::string const& argument, output_format format)
+leaf::result<int> run_on_platform(cxxopts::ParseResult const& args,
+                                  std::string const& action,
+                                  std::string const& argument,
+                                  output_format format)
 {
-    auto const platform = endpoint_of(args, "platform");
-    if (!platform) {
-        return exit_usage;
+    BOOST_LEAF_AUTO(platform, endpoint_of(args, "platform"));
+    platform_access access(platform);
+    if (action == "list") {
+        return list(access);
+    }
+    if (action == "show") {
+        BOOST_LEAF_AUTO(number, parse_number(argument));
+        return show(access, number);
     }
-    platform_access access(*platform);
-    if (action == "submit" && !argument.empty()) {
-        return submit(access, argument, args["nonce"].as<std::string>(),
-                      format);
+    if (argument.empty()) {
+        return leaf::new_error(usage_error{"a ticket file is required"});
     }
-    if (action == "diff" && !argument.empty()) {
+    if (action == "diff") {
         return diff(access, argument);
     }
-    if (action == "list") {
-        return list(access);
+    return submit(access, argument, args["nonce"].as<std::string>(), format);
+}
+
+leaf::result<int> run_on_host(cxxopts::ParseResult const& args,
+                              std::string const& action,
+                              std::string const& argument)
+{
+    BOOST_LEAF_AUTO(number, parse_number(argument));
+    BOOST_LEAF_AUTO(host, endpoint_of(args, "host"));
+    if (action == "status") {
+        return status(host, number);
     }
-    auto const number = parse_number(argument);
-    return number ? show(access, *number) : usage();
+    std::chrono::milliseconds const limit(
+        args["timeout-ms"].as<std::uint32_t>());
+    return wait(host, number, limit);
 }
 
 } // namespace
 
-int run_ticket(int argc, char** argv)
+leaf::result<int> run_ticket(int argc, char** argv)
 {
     cxxopts::Options options("snipemill ticket",
                              "Submits and inspects change tickets.");
@@ -349,36 +336,19 @@
     options.parse_positional({"action", "argument"});
     options.positional_help(
         "submit FILE | show N | list | status N | diff FILE | wait N");
-    add_common_options(options);
-    auto const parsed = parse_arguments(options, argc, argv);
-    if (auto const* code = std::get_if<int>(&parsed)) {
-        return *code;
-    }
-    auto const& args = std::get<cxxopts::ParseResult>(parsed);
-    auto const format = output_of(args);
-    if (!format) {
-        return exit_usage;
-    }
+    BOOST_LEAF_AUTO(args, parse_arguments(options, argc, argv));
+    BOOST_LEAF_AUTO(format, output_of(args));
     auto const action = args["action"].as<std::string>();
     auto const argument = args["argument"].as<std::string>();
     if (action == "submit" || action == "diff" || action == "list" ||
         action == "show") {
-        return run_on_platform(args, action, argument, *format);
-    }
-    auto const number = parse_number(argument);
-    auto const host = endpoint_of(args, "host");
-    if (!number || !host) {
-        return usage();
-    }
-    if (action == "status") {
-        return status(*host, *number);
+        return run_on_platform(args, action, argument, format);
     }
-    if (action == "wait") {
-        std::chrono::milliseconds const limit(
-            args["timeout-ms"].as<std::uint32_t>());
-        return wait(*host, *number, limit);
+    if (action == "status" || action == "wait") {
+        return run_on_host(args, action, argument);
     }
-    return usage();
+    return leaf::new_error(usage_error{
+        "the action must be submit, show, list, status, diff or wait"});
 }
 
 } // namespace snipemill::cli
--- a/src/cli/timeline.cpp
+++ b/src/cli/timeline.cpp
@@ -143,7 +143,7 @@
 
 } // namespace
 
-int run_timeline(int argc, char** argv)
+leaf::result<int> run_timeline(int argc, char** argv)
 {
     cxxopts::Options options("snipemill timeline",
                              "Shows the events of all hosts in causal order.");
@@ -154,23 +154,12 @@
         "subject", "only events whose subject contains this text",
         cxxopts::value<std::string>()->default_value(""))(
         "follow", "go on with new events until interrupted");
-    add_common_options(options);
-    auto const parsed = parse_arguments(options, argc, argv);
-    if (auto const* code = std::get_if<int>(&parsed)) {
-        return *code;
-    }
-    auto const& args = std::get<cxxopts::ParseResult>(parsed);
-    auto const format = output_of(args);
-    auto const host = endpoint_of(args, "host");
-    if (!format || !host) {
-        return exit_usage;
-    }
-    auto const fleet = fetch_fleet(*host);
-    if (!fleet) {
-        return exit_unavailable;
-    }
+    BOOST_LEAF_AUTO(args, parse_arguments(options, argc, argv));
+    BOOST_LEAF_AUTO(format, output_of(args));
+    BOOST_LEAF_AUTO(host, endpoint_of(args, "host"));
+    BOOST_LEAF_AUTO(fleet, fetch_fleet(host));
     std::vector<endpoint> endpoints;
-    for (auto const& it : *fleet) {
+    for (auto const& it : fleet) {
         endpoints.push_back(it.operator_endpoint);
     }
     event_filter const filter{.kind = args["kind"].as<std::string>(),
@@ -179,7 +168,7 @@
     do {
         for (auto const& it : reader.read()) {
             if (filter.accepts(it)) {
-                print_event(it, *format);
+                print_event(it, format);
             }
         }
         std::cout.flush();
