Test the upstream pool and probes with real answers and datagrams

Cause: the tests were written against test-local codecs that are gone; the real ones refuse their shortened answers, so both programs ended with std::bad_variant_access. The probe test also showed that an empty datagram decodes to a probe without a sender, as every field is optional on the wire. Change: the tests send the examples of docs/upstream-protocol.md and whole probes and compare every field; a 200 that lacks members must be malformed. The probe socket counts a datagram without a sender as malformed. Conclusion: the checks are at least as strict as before.

--- a/src/adapters/peer/probe_socket.cpp
+++ b/src/adapters/peer/probe_socket.cpp
@@ -89,7 +89,9 @@
     {
         bytes_received += bytes.size();
         auto packet = decode_probe(now_(), bytes);
-        if (!packet) {
+        // Every field of a message is optional on the wire, so that an empty
+        // datagram decodes to a probe without a sender.
+        if (!packet || packet->message.from.id.value.empty()) {
             ++malformed;
             return;
         }
--- a/tests/adapters/peer/probe_socket_test.cpp
+++ b/tests/adapters/peer/probe_socket_test.cpp
@@ -1,3 +1,4 @@
+#include "adapters/codec/peer_codec.hpp"
 #include "adapters/peer/probe_socket.hpp"
 #include "support/raw_peer.hpp"
 
@@ -21,12 +22,25 @@
     return udp::socket(io, any()).local_endpoint().port();
 }
 
+probe_packet packet(std::uint64_t sequence)
+{
+    return {.time = {.wall = 5, .counter = 6},
+            .message = {.sequence = sequence,
+                        .from = {.id = host_id("a"),
+                                 .data_centre = "west",
+                                 .ip = "127.0.0.1",
+                                 .peer_port = 7000,
+                                 .operator_port = 7001,
+                                 .incarnation = 3},
+                        .config_number = 12}};
+}
+
 } // namespace
 
 TEST_GROUP(probe_socket)
 {
     boost::asio::io_context io;
-    std::vector<std::uint64_t> received;
+    std::vector<probe_packet> received;
 
     void teardown() override
     {
@@ -35,8 +49,7 @@
     }
     auto receiver()
     {
-        return
-            [this](probe_packet p) { received.push_back(p.message.sequence); };
+        return [this](probe_packet p) { received.push_back(std::move(p)); };
     }
 };
 
@@ -52,12 +65,14 @@
     udp::endpoint const to(boost::asio::ip::address_v4::loopback(), port);
     raw.send_to(boost::asio::buffer("nonsense", 8), to);
     raw.send_to(boost::asio::buffer("", 0), to);
-    b.send("127.0.0.1", port, {.message = {.sequence = 17}});
+    b.send("127.0.0.1", port, packet(17));
     CHECK(run_until(io, [&] { return received.size() == 1; }));
-    CHECK(received[0] == 17);
+    CHECK(received[0].time == packet(17).time);
+    CHECK(received[0].message == packet(17).message);
+    auto const size = encode(now(), packet(17)).size();
     LONGS_EQUAL(2, a.malformed());
-    LONGS_EQUAL(6, b.bytes_sent());
-    LONGS_EQUAL(14, a.bytes_received());
+    LONGS_EQUAL(size, b.bytes_sent());
+    LONGS_EQUAL(8 + size, a.bytes_received());
 }
 
 // Guards against a socket that stops reading because a peer's port is closed
@@ -67,8 +82,9 @@
     auto const port = free_port(io);
     auto const now = [] { return time_point{}; };
     probe_socket a(io, "127.0.0.1", port, now, receiver());
-    a.send("127.0.0.1", free_port(io), {});
-    a.send("not an address", 1, {});
-    a.send("127.0.0.1", port, {.message = {.sequence = 4}});
+    a.send("127.0.0.1", free_port(io), packet(2));
+    a.send("not an address", 1, packet(3));
+    a.send("127.0.0.1", port, packet(4));
     CHECK(run_until(io, [&] { return received.size() == 1; }));
+    LONGS_EQUAL(4, received[0].message.sequence);
 }
--- a/tests/adapters/upstream/upstream_pool_test.cpp
+++ b/tests/adapters/upstream/upstream_pool_test.cpp
@@ -18,7 +18,32 @@
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::string const good = answer("200 OK", R"({"version":7})");
+// The examples of docs/upstream-protocol.md.
+std::string const good_body =
+    R"({"version": 7, "partition_count": 64,)"
+    R"( "partitions": [{"id": 3, "documents": 120, "matches": 4}],)"
+    R"( "records": [{"key": "order-17", "rank": 17.5, "partition": 3,)"
+    R"( "body": {"depot": "Kelaniya"}}]})";
+std::string const good_status =
+    R"({"starting": true, "draining": false, "in_flight": 1,)"
+    R"( "held": [{"version": 7, "partition_count": 64,)"
+    R"( "partitions": [{"id": 3, "documents": 120}]}]})";
+std::string const good = answer("200 OK", good_body);
+
+// What good says.
+bool is_good(sub_result const& result)
+{
+    auto const* const it = std::get_if<sub_answer>(&result);
+    std::vector<record> const records = {{.key = "order-17",
+                                          .rank = 17.5,
+                                          .partition = partition_id(3),
+                                          .body = R"({"depot":"Kelaniya"})"}};
+    return it != nullptr && it->version == index_version(7) &&
+           it->partition_count == 64 && it->partitions.size() == 1 &&
+           it->partitions[0].id == partition_id(3) &&
+           it->partitions[0].documents == 120 &&
+           it->partitions[0].matches == 4 && it->records == records;
+}
 
 } // namespace
 
@@ -171,7 +196,7 @@
     CHECK(peer->has("X-Deadline-Ms: "));
     peer->send(good);
     CHECK(wait_results(1));
-    CHECK(std::get<sub_answer>(results[0]).version == index_version(7));
+    CHECK(is_good(results[0]));
 }
 
 // Guards against an answer that is mapped to the wrong outcome.
@@ -186,7 +211,8 @@
         {answer("400 Bad", "{}"), sub_outcome::refused},
         {answer("500 Fault"), sub_outcome::malformed},
         {answer("200 OK", "{nonsense"), sub_outcome::malformed},
-        {answer("410 Gone", R"({"held":[8,9]})"), sub_outcome::version_gone},
+        {answer("200 OK", R"({"version":7})"), sub_outcome::malformed},
+        {answer("410 Gone", R"({"held": [8, 9]})"), sub_outcome::version_gone},
     };
     for (auto const& [text, outcome] : cases) {
         auto const n = results.size();
@@ -199,8 +225,10 @@
         CHECK(wait_results(n + 1));
         CHECK(failed(n) == outcome);
     }
-    CHECK(std::get<sub_failure>(results.back()).held.size() == 2);
-    LONGS_EQUAL(2, pool->counters().malformed);
+    std::vector<index_version> const held = {index_version(8),
+                                             index_version(9)};
+    CHECK(std::get<sub_failure>(results.back()).held == held);
+    LONGS_EQUAL(3, pool->counters().malformed);
 }
 
 // Guards against a crash that is not told from a shed or truncated answer.
@@ -282,7 +310,7 @@
     }));
     server.peers[1]->send(good);
     CHECK(wait_results(2));
-    CHECK(std::holds_alternative<sub_answer>(results[1]));
+    CHECK(is_good(results[1]));
 }
 
 // Guards against a cancelled request that keeps its slot at the upstream.
@@ -417,9 +445,13 @@
     pool->status(upstream_id(1), f);
     auto const control = wait_for("GET /status");
     CHECK(control != busy);
-    control->send(answer("200 OK", R"({"starting":true})"));
+    control->send(answer("200 OK", good_status));
     CHECK(run_until(io, [&] { return statuses.size() == 1; }));
     CHECK(statuses[0].starting);
+    CHECK(!statuses[0].draining);
+    LONGS_EQUAL(1, statuses[0].in_flight);
+    LONGS_EQUAL(1, statuses[0].held.size());
+    CHECK(statuses[0].held[0].version == index_version(7));
 
     pool->status(upstream_id(1), f);
     CHECK(run_until(io, [&] { return control->count("GET /status") == 2; }));
@@ -444,7 +476,7 @@
     CHECK(!busy->closed);
     busy->send(good);
     CHECK(wait_results(1));
-    CHECK(std::holds_alternative<sub_answer>(results[0]));
+    CHECK(is_good(results[0]));
     CHECK(run_until(io, [&] { return busy->closed; }));
     query();
     CHECK(wait_results(2));
