Report an answer cut off by a closed connection as a reset

Cause: a truncated answer became malformed, but the owner counts only resets as suspected crashes, so a query that crashed upstreams while they answered was never quarantined. Change: a connection lost inside an answer gives reset, also for an answer without a length whose JSON is incomplete; malformed stays for complete answers. A submit gets upstream_reset for a lost answer and upstream_failed for one that is not HTTP. Conclusion: crashes inside an answer count; the counter of truncated answers keeps them apart from resets before the first byte.

--- a/src/adapters/upstream/upstream_answers.cpp
+++ b/src/adapters/upstream/upstream_answers.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/codec/upstream_json.hpp"
 
+#include <boost/json/error.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -31,11 +32,20 @@
     return std::to_string(std::max<std::int64_t>(n, 0));
 }
 
-bool is_json(std::string const& text)
+boost::json::error_code json_fault(std::string const& text)
 {
     boost::json::error_code ec;
     boost::json::parse(text, ec);
-    return !ec;
+    return ec;
+}
+
+// An answer without a length ends where the connection ends, so that one that
+// is cut off shows only in its text.
+bool cut_off(http_response const& response)
+{
+    return header(response, "content-length").empty() &&
+           header(response, "transfer-encoding").empty() &&
+           json_fault(response.body) == boost::json::error::incomplete;
 }
 
 void count(exchange_failed const& failed, upstream_counters& counters)
@@ -58,10 +68,19 @@
     if (!failed.sent) {
         return {.outcome = sub_outcome::unreachable};
     }
-    if (failed.fault == exchange_fault::closed) {
-        return {.outcome = sub_outcome::reset};
+    // A crash can also cut off an answer that has begun.
+    bool const lost = failed.fault != exchange_fault::malformed;
+    return {.outcome = lost ? sub_outcome::reset : sub_outcome::malformed};
+}
+
+submit_outcome failure_of_submit(exchange_failed const& failed)
+{
+    if (!failed.sent) {
+        return submit_not_run{.reason = errc::upstream_unreachable};
     }
-    return {.outcome = sub_outcome::malformed};
+    bool const lost = failed.fault != exchange_fault::malformed;
+    return submit_unknown{.reason = lost ? errc::upstream_reset
+                                         : errc::upstream_failed};
 }
 
 sub_result read_search_answer(http_response const& response,
@@ -70,6 +89,10 @@
     if (auto answer = parse_sub_answer(response.body)) {
         return std::move(*answer);
     }
+    if (cut_off(response)) {
+        ++counters.truncated;
+        return sub_failure{.outcome = sub_outcome::reset};
+    }
     ++counters.malformed;
     return sub_failure{.outcome = sub_outcome::malformed};
 }
@@ -160,10 +183,7 @@
 {
     if (auto const* const failed = std::get_if<exchange_failed>(&result)) {
         count(*failed, counters);
-        if (!failed->sent) {
-            return submit_not_run{.reason = errc::upstream_unreachable};
-        }
-        return submit_unknown{.reason = errc::upstream_reset};
+        return failure_of_submit(*failed);
     }
     auto& response = std::get<http_response>(result);
     switch (response.status) {
@@ -182,10 +202,14 @@
     }
     bool const ran = response.status == 200 ||
                      (response.status > 400 && response.status < 500);
-    if (ran && is_json(response.body)) {
+    if (ran && !json_fault(response.body)) {
         return submit_answered{.status = response.status,
                                .body = std::move(response.body)};
     }
+    if (ran && cut_off(response)) {
+        ++counters.truncated;
+        return submit_unknown{.reason = errc::upstream_reset};
+    }
     ++counters.malformed;
     return submit_unknown{.reason = errc::upstream_failed};
 }
--- a/src/core/query/messages.hpp
+++ b/src/core/query/messages.hpp
@@ -79,8 +79,8 @@
     not_owner,     // the receiver does not own the upstream
     unreachable,   // no connection, did not run
     timed_out,     // no answer before the deadline
-    reset,         // connection lost after the request was sent
-    malformed,     // answer truncated or not understood
+    reset,         // connection lost before the whole answer
+    malformed,     // complete answer that is not understood
     wrong_version, // answer from another version than the pinned one
     cancelled,     // cancelled by the root
     quarantined,   // its fingerprint crashes upstreams
