Give the call budget of the platform client a class name of its own

Cause: core/query and adapters/platform both defined snipemill::token_bucket with an inline constructor of two doubles. Where it is not inlined, the linker keeps one of the two, and the larger one writes past the smaller object. Change: the class of the platform client is call_bucket.

--- a/src/adapters/platform/token_bucket.hpp
+++ b/src/adapters/platform/call_bucket.hpp
@@ -6,12 +6,12 @@
 namespace snipemill {
 
 // Allows a number of calls per second on average, and a burst after a pause.
-class token_bucket
+class call_bucket
 {
 public:
     using clock = std::chrono::steady_clock;
 
-    token_bucket(double per_second, double burst)
+    call_bucket(double per_second, double burst)
         : per_second_(per_second), burst_(burst), tokens_(burst)
     {}
 
--- a/src/adapters/platform/platform_calls.cpp
+++ b/src/adapters/platform/platform_calls.cpp
@@ -71,7 +71,7 @@
         return false;
     }
     auto& budget = key.starts_with("claims/") ? claim_budget_ : budget_;
-    if (!budget.take(token_bucket::clock::now())) {
+    if (!budget.take(call_bucket::clock::now())) {
         ++counters.not_sent_budget;
         refuse(f);
         return false;
--- a/src/adapters/platform/platform_calls.hpp
+++ b/src/adapters/platform/platform_calls.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "adapters/http/http_client.hpp"
+#include "adapters/platform/call_bucket.hpp"
 #include "adapters/platform/circuit_breaker.hpp"
 #include "adapters/platform/platform_client.hpp"
-#include "adapters/platform/token_bucket.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -54,8 +54,8 @@
     boost::asio::io_context& io_;
     platform_client_options options_;
     std::function<void(bool)> on_state_;
-    token_bucket budget_;
-    token_bucket claim_budget_;
+    call_bucket budget_;
+    call_bucket claim_budget_;
     circuit_breaker breaker_;
     boost::asio::steady_timer trial_timer_;
     std::unique_ptr<http_client> client_;
