Sort records of equal rank alike in upstreams, owners and roots

Cause: on equal ranks in descending order the owner kept keys ascending and the root reversed them. An owner cuts at offset + limit, so the root could miss the first records of a page. The stand-in already sorted so. The merger of the owner is run_merger, because two classes called record_merger shared their implicit members at link time. Conclusion: one definition of the order keeps the three in step.

--- a/src/core/owner/answer_check.cpp
+++ b/src/core/owner/answer_check.cpp
@@ -1,6 +1,6 @@
 #include "core/owner/answer_check.hpp"
 
-#include "core/owner/record_merger.hpp"
+#include "core/query/record_order.hpp"
 
 #include <algorithm>
 
@@ -50,7 +50,7 @@
         return sub_outcome::malformed;
     }
     auto const before = [order](record const& a, record const& b) {
-        return record_before(order, a, b);
+        return ordered_before(a, b, order);
     };
     auto& records = answer.records;
     if (!std::is_sorted(records.begin(), records.end(), before)) {
--- a/src/core/owner/owner_batch.cpp
+++ b/src/core/owner/owner_batch.cpp
@@ -67,7 +67,7 @@
     return now < flush_at_ ? flush_at_ : deadline_;
 }
 
-query_part owner_batch::take_part(record_merger& merger)
+query_part owner_batch::take_part(run_merger& merger)
 {
     query_part part;
     part.id = request_.id;
--- a/src/core/owner/owner_batch.hpp
+++ b/src/core/owner/owner_batch.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "core/owner/owner_engine.hpp"
-#include "core/owner/record_merger.hpp"
+#include "core/owner/run_merger.hpp"
 #include "core/owner/timer_queue.hpp"
 
 #include <cstddef>
@@ -48,7 +48,7 @@
     bool part_due(time_point now) const;
     // When time alone makes something due: the flush, then the deadline.
     time_point next_due(time_point now) const;
-    query_part take_part(record_merger& merger);
+    query_part take_part(run_merger& merger);
 
     timer_id timer = 0;
     bool touched = false; // results were added by the current input
--- a/src/core/owner/owner_work.hpp
+++ b/src/core/owner/owner_work.hpp
@@ -2,7 +2,7 @@
 
 #include "core/owner/owner_batch.hpp"
 #include "core/owner/peer_index.hpp"
-#include "core/owner/record_merger.hpp"
+#include "core/owner/run_merger.hpp"
 #include "core/owner/timer_queue.hpp"
 
 #include <cstddef>
@@ -74,7 +74,7 @@
     slot_map<owner_submit> submits_;
     slot_map<owner_describe> describes_;
     peer_index peers_;
-    record_merger merger_;
+    run_merger merger_;
     std::vector<slot_handle> touched_;
 };
 
--- a/src/core/owner/record_merger.cpp
+++ b/src/core/owner/run_merger.cpp
@@ -1,23 +1,15 @@
-#include "core/owner/record_merger.hpp"
+#include "core/owner/run_merger.hpp"
 
 #include "core/base/hash.hpp"
+#include "core/query/record_order.hpp"
 
 #include <algorithm>
 #include <bit>
 
 namespace snipemill {
 
-bool record_before(sort_order order, record const& a, record const& b)
-{
-    if (a.rank != b.rank) {
-        return order == sort_order::ascending ? a.rank < b.rank
-                                              : a.rank > b.rank;
-    }
-    return a.key < b.key;
-}
-
-std::vector<record> record_merger::merge(std::vector<std::vector<record>>& runs,
-                                         sort_order order, std::size_t limit)
+std::vector<record> run_merger::merge(std::vector<std::vector<record>>& runs,
+                                      sort_order order, std::size_t limit)
 {
     open(runs);
     std::size_t available = 0;
@@ -31,7 +23,7 @@
 
     // The heap has the cursor with the first record at its front.
     auto const later = [order](cursor const& a, cursor const& b) {
-        return record_before(order, *b.next, *a.next);
+        return ordered_before(*b.next, *a.next, order);
     };
     std::make_heap(heap_.begin(), heap_.end(), later);
     while (merged.size() < wanted && !heap_.empty()) {
@@ -49,7 +41,7 @@
     return merged;
 }
 
-void record_merger::open(std::vector<std::vector<record>>& runs)
+void run_merger::open(std::vector<std::vector<record>>& runs)
 {
     heap_.clear();
     for (auto& run : runs) {
@@ -59,14 +51,14 @@
     }
 }
 
-void record_merger::reset_keys(std::size_t n)
+void run_merger::reset_keys(std::size_t n)
 {
     keys_.assign(std::bit_ceil(2 * n + 1), 0);
 }
 
 // Enters a new key for the record that is merged next.
-bool record_merger::is_new(std::string const& key,
-                           std::vector<record> const& merged)
+bool run_merger::is_new(std::string const& key,
+                        std::vector<record> const& merged)
 {
     auto const mask = keys_.size() - 1;
     auto place = hash_bytes(key) & mask;
--- a/src/core/owner/record_merger.hpp
+++ b/src/core/owner/run_merger.hpp
@@ -8,13 +8,9 @@
 
 namespace snipemill {
 
-// Whether a comes before b in an answer: by rank in the given order, then by
-// ascending key.
-bool record_before(sort_order order, record const& a, record const& b);
-
 // Merges sorted runs of records into one sorted run of at most limit records
 // with distinct keys. Keeps its working memory between calls.
-class record_merger
+class run_merger
 {
 public:
     // Moves the records that it returns out of the runs.
--- a/src/core/query/record_merger.cpp
+++ b/src/core/query/record_merger.cpp
@@ -1,19 +1,10 @@
 #include "core/query/record_merger.hpp"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace snipemill {
 
-bool ordered_before(record const& a, record const& b, sort_order order)
-{
-    auto const& x = order == sort_order::ascending ? a : b;
-    auto const& y = order == sort_order::ascending ? b : a;
-    return std::tie(x.rank, x.key, x.partition) <
-           std::tie(y.rank, y.key, y.partition);
-}
-
 void record_merger::reset(sort_order order, std::size_t limit)
 {
     order_ = order;
--- a/src/core/query/record_merger.hpp
+++ b/src/core/query/record_merger.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/query/messages.hpp"
+#include "core/query/record_order.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -11,10 +12,6 @@
 
 namespace snipemill {
 
-// Order of records in an answer: by rank, then by key, then by partition.
-// Descending is the exact reverse.
-bool ordered_before(record const& a, record const& b, sort_order order);
-
 // Merges records of many parts to the first ones in order, each key once. The
 // result does not depend on the order in which records arrive.
 class record_merger
--- a/standins/upstream/index.cpp
+++ b/standins/upstream/index.cpp
@@ -41,6 +41,7 @@
     out += R"(,"n":)" + n + "}}";
 }
 
+// Keys are distinct, so the partition never decides.
 void sort_matches(std::vector<match>& all, bool descending)
 {
     std::sort(all.begin(), all.end(), [&](match const& a, match const& b) {
--- a/tests/core/query/record_merger_test.cpp
+++ b/tests/core/query/record_merger_test.cpp
@@ -77,6 +77,29 @@
     CHECK(ok);
 }
 
+// Guards against an order that differs from the one in which owners and
+// upstreams cut their records, which would lose records of equal rank.
+TEST(record_merger, equal_ranks_keep_keys_and_partitions_ascending)
+{
+    std::vector<record> const all = {make("b", 2, 0), make("c", 1, 0),
+                                     make("a", 2, 9), make("d", 3, 0),
+                                     make("a", 2, 3)};
+    auto const sorted = [&](sort_order order) {
+        record_merger merger;
+        merger.reset(order, 10);
+        for (auto it : all) {
+            merger.add(std::move(it));
+        }
+        return merger.take(0);
+    };
+    std::vector<record> const up = {make("c", 1, 0), make("a", 2, 3),
+                                    make("b", 2, 0), make("d", 3, 0)};
+    std::vector<record> const down = {make("d", 3, 0), make("a", 2, 3),
+                                      make("b", 2, 0), make("c", 1, 0)};
+    CHECK(sorted(sort_order::ascending) == up);
+    CHECK(sorted(sort_order::descending) == down);
+}
+
 // Guards against two replicas' copies of a record being reported as a
 // duplicate order.
 TEST(record_merger, same_partition_twice_is_not_a_duplicate)
