--- a/tests/adapters/upstream/upstream_pool_test.cpp
+++ b/tests/adapters/upstream/upstream_pool_test.cpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 
 using namespace snipemill;
 using namespace snipemill::test;
@@ -18,7 +19,32 @@
            "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-std::string const good = answer("200 OK", R"({"version":7})");
+// The examples of docs/upstream-protocol.md.
+std::string const good_body =
+    R"({"version": 7, "partition_count": 64,)"
+    R"( "partitions": [{"id": 3, "documents": 120, "matches": 4}],)"
+    R"( "records": [{"key": "order-17", "rank": 17.5, "partition": 3,)"
+    R"( "body": {"depot": "Kelaniya"}}]})";
+std::string const good_status =
+    R"({"starting": true, "draining": false, "in_flight": 1,)"
+    R"( "held": [{"version": 7, "partition_count": 64,)"
+    R"( "partitions": [{"id": 3, "documents": 120}]}]})";
+std::string const good = answer("200 OK", good_body);
+
+// What good says.
+bool is_good(sub_result const& result)
+{
+    auto const* const it = std::get_if<sub_answer>(&result);
+    std::vector<record> const records = {{.key = "order-17",
+                                          .rank = 17.5,
+                                          .partition = partition_id(3),
+                                          .body = R"({"depot":"Kelaniya"})"}};
+    return it != nullptr && it->version == index_version(7) &&
+           it->partition_count == 64 && it->partitions.size() == 1 &&
+           it->partitions[0].id == partition_id(3) &&
+           it->partitions[0].documents == 120 &&
+           it->partitions[0].matches == 4 && it->records == records;
+}
 
 } // namespace
 
@@ -31,6 +57,7 @@
     std::vector<upstream_status> statuses;
     std::optional<upstream_pool> pool;
     std::uint32_t next_handle = 0;
+    std::set<std::shared_ptr<raw_peer>> ended; // by end_answer
 
     std::string address()
     {
@@ -99,6 +126,25 @@
         }));
         return found;
     }
+    // Sends the text on the connection with the only open request, the n-th
+    // of all, and ends the connection.
+    void end_answer(std::size_t n, std::string const& text)
+    {
+        auto const requests = [this] {
+            std::size_t all = 0;
+            for (auto const& it : server.peers) {
+                all += it->count("POST");
+            }
+            return all;
+        };
+        CHECK(run_until(io, [&] { return requests() == n + 1; }));
+        for (auto const& it : server.peers) {
+            if (it->has("POST") && !it->closed && ended.insert(it).second) {
+                it->send(text);
+                it->half_close();
+            }
+        }
+    }
     bool wait_peers(std::size_t n)
     {
         return run_until(io, [&] { return server.peers.size() == n; });
@@ -171,7 +217,7 @@
     CHECK(peer->has("X-Deadline-Ms: "));
     peer->send(good);
     CHECK(wait_results(1));
-    CHECK(std::get<sub_answer>(results[0]).version == index_version(7));
+    CHECK(is_good(results[0]));
 }
 
 // Guards against an answer that is mapped to the wrong outcome.
@@ -186,7 +232,8 @@
         {answer("400 Bad", "{}"), sub_outcome::refused},
         {answer("500 Fault"), sub_outcome::malformed},
         {answer("200 OK", "{nonsense"), sub_outcome::malformed},
-        {answer("410 Gone", R"({"held":[8,9]})"), sub_outcome::version_gone},
+        {answer("200 OK", R"({"version":7})"), sub_outcome::malformed},
+        {answer("410 Gone", R"({"held": [8, 9]})"), sub_outcome::version_gone},
     };
     for (auto const& [text, outcome] : cases) {
         auto const n = results.size();
@@ -199,35 +246,92 @@
         CHECK(wait_results(n + 1));
         CHECK(failed(n) == outcome);
     }
-    CHECK(std::get<sub_failure>(results.back()).held.size() == 2);
-    LONGS_EQUAL(2, pool->counters().malformed);
+    std::vector<index_version> const held = {index_version(8),
+                                             index_version(9)};
+    CHECK(std::get<sub_failure>(results.back()).held == held);
+    LONGS_EQUAL(3, pool->counters().malformed);
 }
 
-// Guards against a crash that is not told from a shed or truncated answer.
-TEST(upstream_pool, connection_closed_before_and_inside_the_answer)
+// Guards against a crash inside the answer that is not suspected, since the
+// owner counts only resets.
+TEST(upstream_pool, answer_cut_off_by_the_upstream_is_a_reset)
+{
+    start(1, 4);
+    std::string const chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    std::vector<std::string> const starts = {
+        "",
+        "HTTP/1.1 200",
+        "HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n",
+        good.substr(0, good.size() - 1),
+        "HTTP/1.1 503 No\r\nContent-Length: 5\r\n\r\n",
+        chunked + "32\r\n{\"ver",
+        chunked + "5\r\n{\"ver\r\n",
+        "HTTP/1.1 200 OK\r\n\r\n{\"ver",
+    };
+    for (std::size_t i = 0; i < starts.size(); ++i) {
+        query();
+        end_answer(i, starts[i]);
+        CHECK(wait_results(i + 1));
+        CHECK(failed(i) == sub_outcome::reset);
+    }
+    LONGS_EQUAL(1, pool->counters().resets);
+    LONGS_EQUAL(7, pool->counters().truncated);
+    LONGS_EQUAL(0, pool->counters().malformed);
+}
+
+// Guards against an answer lost to a reset, by the network's signal, that is
+// taken for a malformed one.
+TEST(upstream_pool, connection_reset_is_a_reset)
 {
     start(1, 4);
     query();
-    auto first = wait_for("POST /search");
-    first->reset();
+    wait_for("POST /search")->reset();
     CHECK(wait_results(1));
     CHECK(failed(0) == sub_outcome::reset);
-
-    query();
-    auto const second = [&] {
-        std::shared_ptr<raw_peer> it;
-        CHECK(run_until(io, [&] {
-            it = server.peers.back();
-            return it != first && it->has("POST /search");
-        }));
-        return it;
-    }();
-    second->send("HTTP/1.1 200 OK\r\nContent-Length: 50\r\n\r\n{\"ver");
-    second->half_close();
-    CHECK(wait_results(2));
-    CHECK(failed(1) == sub_outcome::malformed);
     LONGS_EQUAL(1, pool->counters().resets);
-    LONGS_EQUAL(1, pool->counters().truncated);
+}
+
+// Guards against a fault of the answer's content taken for a crash, which
+// would quarantine a harmless query.
+TEST(upstream_pool, complete_answer_before_a_close_is_malformed)
+{
+    start(1, 4);
+    std::vector<std::string> const texts = {
+        answer("200 OK", "{\"ver"),
+        "HTTP/1.1 200 OK\r\n\r\n{\"version\":7}",
+        "HTTP/1.1 200 OK\r\n\r\n{nonsense",
+        "nonsense\r\n\r\n",
+    };
+    for (std::size_t i = 0; i < texts.size(); ++i) {
+        query();
+        end_answer(i, texts[i]);
+        CHECK(wait_results(i + 1));
+        CHECK(failed(i) == sub_outcome::malformed);
+    }
+    LONGS_EQUAL(0, pool->counters().resets);
+    LONGS_EQUAL(0, pool->counters().truncated);
+    LONGS_EQUAL(4, pool->counters().malformed);
+}
+
+// Guards against a submit whose answer is cut off being reported as answered
+// or as a fault of the answer.
+TEST(upstream_pool, submit_answer_cut_off_is_an_unknown_outcome)
+{
+    start(1, 4);
+    std::vector<std::pair<std::string, errc>> const cases = {
+        {"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n{\"b\":2}",
+         errc::upstream_reset},
+        {"HTTP/1.1 200 OK\r\n\r\n{\"b\":", errc::upstream_reset},
+        {"HTTP/1.1 503 No\r\nContent-Le", errc::upstream_reset},
+        {"nonsense\r\n\r\n", errc::upstream_failed},
+    };
+    for (std::size_t i = 0; i < cases.size(); ++i) {
+        submit();
+        end_answer(i, cases[i].first);
+        CHECK(wait_outcomes(i + 1));
+        CHECK(outcomes[i] == submit_outcome(submit_unknown{cases[i].second}));
+    }
 }
 
 // Guards against a server that is gone being taken for a crash, and against
@@ -282,7 +386,7 @@
     }));
     server.peers[1]->send(good);
     CHECK(wait_results(2));
-    CHECK(std::holds_alternative<sub_answer>(results[1]));
+    CHECK(is_good(results[1]));
 }
 
 // Guards against a cancelled request that keeps its slot at the upstream.
@@ -417,9 +521,13 @@
     pool->status(upstream_id(1), f);
     auto const control = wait_for("GET /status");
     CHECK(control != busy);
-    control->send(answer("200 OK", R"({"starting":true})"));
+    control->send(answer("200 OK", good_status));
     CHECK(run_until(io, [&] { return statuses.size() == 1; }));
     CHECK(statuses[0].starting);
+    CHECK(!statuses[0].draining);
+    LONGS_EQUAL(1, statuses[0].in_flight);
+    LONGS_EQUAL(1, statuses[0].held.size());
+    CHECK(statuses[0].held[0].version == index_version(7));
 
     pool->status(upstream_id(1), f);
     CHECK(run_until(io, [&] { return control->count("GET /status") == 2; }));
@@ -444,7 +552,7 @@
     CHECK(!busy->closed);
     busy->send(good);
     CHECK(wait_results(1));
-    CHECK(std::holds_alternative<sub_answer>(results[0]));
+    CHECK(is_good(results[0]));
     CHECK(run_until(io, [&] { return busy->closed; }));
     query();
     CHECK(wait_results(2));
