--- a/src/adapters/peer/h2_callbacks.cpp
+++ b/src/adapters/peer/h2_callbacks.cpp
@@ -3,7 +3,6 @@
 #include "adapters/peer/h2_session.hpp"
 
 #include <algorithm>
-#include <cstring>
 #include <memory>
 #include <new>
 
@@ -57,7 +56,7 @@
         stream.deferred = true;
         return NGHTTP2_ERR_DEFERRED;
     }
-    std::memcpy(buf, stream.out.data() + stream.out_at, n);
+    std::copy_n(stream.out.data() + stream.out_at, n, buf);
     stream.out_at += n;
     if (stream.out_at == stream.out.size()) {
         stream.out.clear();
