Use the announcements and refusals of config_spread

Cause: received announcements were treated as any other number of a peer, so standby readers heard nothing and took over from working readers. A host that was not ready answered pulls, and its answer counted for the start of another. Protobuf reads an empty message as an answer without tickets, so an empty message alone would not have been a refusal. Change: serve_config calls on_announced and answers with an empty message when config_spread has no answer; decode_config_push reads an empty message as no answer. Checked by reading: calls to the platform end after call_timeout, watches after their timeout plus call_timeout (the timer covers the wait for a connection), connects to peers after 1 s, streams to a silent peer by the session's ping, pulls after the 1 s of pull_schedule. No timeout was missing.

--- a/src/adapters/codec/peer_codec_config.cpp
+++ b/src/adapters/codec/peer_codec_config.cpp
@@ -251,6 +251,12 @@
 std::optional<stamped<config_push_answer>>
 decode_config_push(std::string_view b)
 {
+    // A host that is not ready refuses a pull with an empty message. Protobuf
+    // reads that as an answer without tickets, which would count as a peer's
+    // vote for the start of another host.
+    if (b.empty()) {
+        return std::nullopt;
+    }
     call_arena arena;
     auto const* m = arena.parse<wire::ConfigPush>(b);
     if (m == nullptr) {
--- a/src/app/control_plane.cpp
+++ b/src/app/control_plane.cpp
@@ -407,10 +407,14 @@
     auto const& m = request->message;
     if (m.announce > 0) {
         with_spread([&](time_point now, spread_actions& out) {
-            spread_->on_peer_number(now, m.from, m.announce, out);
+            spread_->on_announced(now, m.from, m.announce, out);
         });
     }
-    config_push_answer answer{.push = spread_->store().since(m.have),
+    auto push = spread_->answer(m.have);
+    if (!push) {
+        return ""; // not ready: the asker reads this as a failed pull
+    }
+    config_push_answer answer{.push = std::move(*push),
                               .number = spread_->store().number(),
                               .members = {}};
     for (auto& it : members_->members()) {
--- a/tests/adapters/codec/peer_codec_test.cpp
+++ b/tests/adapters/codec/peer_codec_test.cpp
@@ -141,6 +141,12 @@
     }));
 }
 
+// Guards against a refused pull that counts as an answer without tickets.
+TEST(peer_codec, empty_message_is_no_config_answer)
+{
+    CHECK(!decode_config_push(""));
+}
+
 // Guards against a probe that misreports a member or a crash record.
 TEST(peer_codec, probe_round_trips)
 {
