--- a/testbed/fleet.cpp
+++ b/testbed/fleet.cpp
@@ -103,13 +103,7 @@
 {
     start_platform();
     start_upstreams();
-    for (auto const& dc : options_.data_centres) {
-        for (std::uint32_t i = 0; i < options_.hosts_per_data_centre; ++i) {
-            hosts_.push_back(
-                {.name = dc + "-" + std::to_string(i + 1), .data_centre = dc});
-            start_host(hosts_.size() - 1);
-        }
-    }
+    add_hosts();
     auto const result = submit(first_ticket());
     if (result.code != 0) {
         throw std::runtime_error("the first ticket was refused: " +
@@ -121,6 +115,23 @@
     }
 }
 
+void fleet::add_hosts()
+{
+    auto const centres = options_.data_centres.size();
+    auto const count = options_.hosts != 0
+                           ? options_.hosts
+                           : options_.hosts_per_data_centre * centres;
+    for (std::size_t i = 0; i < centres; ++i) {
+        auto const& dc = options_.data_centres[i];
+        for (auto n = i; n < count; n += centres) {
+            hosts_.push_back(
+                {.name = dc + "-" + std::to_string(n / centres + 1),
+                 .data_centre = dc});
+            start_host(hosts_.size() - 1);
+        }
+    }
+}
+
 fleet::~fleet()
 {
     // Hosts first: they talk to the others until their end.
@@ -386,4 +397,13 @@
     return out;
 }
 
+std::vector<std::uint16_t> fleet::operator_ports() const
+{
+    std::vector<std::uint16_t> out;
+    for (auto const& it : hosts_) {
+        out.push_back(it.operator_port);
+    }
+    return out;
+}
+
 } // namespace testbed
--- a/testbed/fleet.hpp
+++ b/testbed/fleet.hpp
@@ -22,6 +22,9 @@
 {
     std::vector<std::string> data_centres = {"colombo", "kelaniya", "gampaha"};
     std::uint32_t hosts_per_data_centre = 2;
+    // Hosts in all, placed in the data centres in turn; 0: the number above in
+    // each. There must be one in each data centre.
+    std::uint32_t hosts = 0;
     std::string group = "stores-desk";
     std::string group_settings; // YAML members of the group, "key: value, "
     std::uint32_t services = 20;
@@ -99,8 +102,10 @@
     bool settled(std::uint64_t ticket);
 
     std::vector<load_target> caller_targets() const;
+    std::vector<std::uint16_t> operator_ports() const;
 
 private:
+    void add_hosts();
     void start_platform();
     void start_upstreams();
     std::string settings_of(fleet_host const& host) const;
