--- a/measure/definitions.cpp
+++ b/measure/definitions.cpp
@@ -10,6 +10,12 @@
          run_repartition},
         {"overhead", "latency against direct calls of the same upstreams",
          run_overhead},
+        {"config", "time until tickets are in force, operators racing",
+         run_config},
+        {"outage", "service and configuration while the platform is down",
+         run_outage},
+        {"platform", "platform calls of idle fleets by number of hosts",
+         run_platform},
     };
     return list;
 }
--- a/measure/measure.hpp
+++ b/measure/measure.hpp
@@ -28,5 +28,8 @@
 result run_tail();
 result run_repartition();
 result run_overhead();
+result run_config();
+result run_outage();
+result run_platform();
 
 } // namespace measure
