Pass announcements of readers on to the reader ranking

Cause: the control plane handled an announcement as a probe's ticket number, so standbys never heard of their readers and all took over after 5 to 7 s. Each announcement was also answered with the members of the data centre, which the sender does not read; that answer grows with the fleet.

Change: announcements go to config_spread::on_announced and get an empty answer.

No test of the process with this change has run.

--- a/src/app/control_plane.cpp
+++ b/src/app/control_plane.cpp
@@ -407,8 +407,11 @@
     auto const& m = request->message;
     if (m.announce > 0) {
         with_spread([&](time_point now, spread_actions& out) {
-            spread_->on_peer_number(now, m.from, m.announce, out);
+            spread_->on_announced(now, m.from, m.announce, out);
         });
+        // The sender does not read the answer; the members of a data centre
+        // of 80 hosts would be several kilobytes for each announcement.
+        return "";
     }
     config_push_answer answer{.push = spread_->store().since(m.have),
                               .number = spread_->store().number(),
