Measure control cost, traffic cost and the growth of benchmarks

The cost at the target size had no measurement. control runs idle fleets of 2 to 24 hosts and gives a straight line at 480; traffic gives the processor time per sub-request at a root and at an owner; slopes runs snipemill-perf.

--- a/measure/definitions.cpp
+++ b/measure/definitions.cpp
@@ -10,6 +10,12 @@
          run_repartition},
         {"overhead", "latency against direct calls of the same upstreams",
          run_overhead},
+        {"control", "control cost of idle hosts by size of the fleet",
+         run_control},
+        {"traffic", "processor time per sub-request at a root and an owner",
+         run_traffic},
+        {"slopes", "times of snipemill-perf and their growth with size",
+         run_slopes},
     };
     return list;
 }
--- a/measure/measure.hpp
+++ b/measure/measure.hpp
@@ -28,5 +28,8 @@
 result run_tail();
 result run_repartition();
 result run_overhead();
+result run_control();
+result run_traffic();
+result run_slopes();
 
 } // namespace measure
