Rank only the hosts that can own an upstream

Cause: the owner table sorted all hosts of a data centre for each upstream, though only the best few can become owners.

Change: a partial sort of the first hosts, as many as there are owners of earlier replicas, and two more.

--- a/src/core/ownership/owner_table.cpp
+++ b/src/core/ownership/owner_table.cpp
@@ -5,6 +5,8 @@
 #include <tbb/parallel_for.h>
 
 #include <algorithm>
+#include <cstddef>
+#include <iterator>
 #include <unordered_map>
 
 namespace snipemill {
@@ -20,9 +22,9 @@
     host_index host = 0;
 };
 
-// Hosts by falling rendezvous score for one upstream.
+// The first hosts by falling rendezvous score for one upstream, at most n.
 void rank_hosts(std::vector<std::uint64_t> const& host_hashes,
-                host_list const& hosts, upstream_id upstream,
+                host_list const& hosts, upstream_id upstream, std::size_t n,
                 std::vector<ranked_host>& out)
 {
     out.clear();
@@ -32,7 +34,11 @@
     auto const by_score = [](ranked_host const& a, ranked_host const& b) {
         return a.score != b.score ? a.score > b.score : a.host < b.host;
     };
-    std::sort(out.begin(), out.end(), by_score);
+    auto const kept = std::min(n, out.size());
+    auto const middle =
+        std::next(out.begin(), static_cast<std::ptrdiff_t>(kept));
+    std::partial_sort(out.begin(), middle, out.end(), by_score);
+    out.resize(kept);
 }
 
 // The first host in rank order that is not yet taken, else the first one.
@@ -100,7 +106,10 @@
             if (hosts_here == by_data_centre.end()) {
                 continue;
             }
-            rank_hosts(hashes, hosts_here->second, upstream.object.id, ranked);
+            // Every taken host and the first owner may have to be passed over
+            // before the second owner is found.
+            rank_hosts(hashes, hosts_here->second, upstream.object.id,
+                       taken.size() + 2, ranked);
             auto const first = pick(ranked, taken);
             table->owners_[index] = {first, pick_second(ranked, *first, taken)};
             taken.push_back(*first);
