Take gauges and give up upstreams in one step on each lane

Cause: a leaving host collected the state of its upstreams first and published the view without itself later. A lane could start requests between the two steps, which the handover did not count.

Change: the control plane makes the view that gives up the upstreams; each lane takes its gauges and applies this view in one step; the handover is sent when all lanes have done so.

--- a/src/app/control_plane.cpp
+++ b/src/app/control_plane.cpp
@@ -470,9 +470,16 @@
 }
 
 void control_plane::update_view()
+{
+    if (renew_view()) {
+        lanes_->publish(view_);
+    }
+}
+
+bool control_plane::renew_view()
 {
     if (!view_stale_) {
-        return;
+        return false;
     }
     view_stale_ = false;
     auto hosts = live_hosts();
@@ -481,7 +488,7 @@
         [](live_host const& a, live_host const& b) { return a.id < b.id; });
     if (view_ && view_->config == topology_ &&
         view_->owners->hosts() == hosts) {
-        return;
+        return false;
     }
     auto view = std::make_shared<routing_view>();
     view->sequence = ++view_sequence_;
@@ -489,19 +496,28 @@
     view->config = topology_;
     view->owners = owner_table::compute(*topology_, std::move(hosts));
     view_ = view;
-    lanes_->publish(view_);
+    return true;
 }
 
-void control_plane::leave(std::vector<upstream_gauge> const& gauges)
+void control_plane::leave()
 {
     leaving_ = true;
     view_stale_ = true;
+    // Between separate steps a lane could start requests that the handover
+    // does not count, and the new owner would exceed the slots. The last host
+    // of its data centre keeps its upstreams, so its view does not change.
+    if (renew_view()) {
+        lanes_->give_up(view_, [this](std::vector<upstream_gauge> const& all) {
+            send_handover(all);
+        });
+    }
     with_members([&](time_point now, member_actions& out) {
         members_->leave(now, out);
     });
-    update_view();
+}
 
-    // The new owners take over the limits that the upstreams have earned.
+void control_plane::send_handover(std::vector<upstream_gauge> const& gauges)
+{
     std::vector<std::vector<upstream_gauge>> by_host(
         view_->owners->hosts().size());
     for (auto const& gauge : gauges) {
--- a/src/app/control_plane.hpp
+++ b/src/app/control_plane.hpp
@@ -29,6 +29,12 @@
     virtual void publish(std::shared_ptr<routing_view const> view) = 0;
     virtual void publish(std::vector<fingerprint> const& refused) = 0;
     virtual void handover(std::vector<upstream_gauge> const& gauges) = 0;
+    // Takes the state of the owned upstreams and publishes the view that gives
+    // them up, in one step on each lane. done runs on the control thread when
+    // every lane has done so.
+    virtual void
+    give_up(std::shared_ptr<routing_view const> view,
+            std::function<void(std::vector<upstream_gauge>)> done) = 0;
 };
 
 // State of the control thread for operators.
@@ -67,9 +73,8 @@
     void run() { io_.run(); }
     void stop() { io_.stop(); }
 
-    // Announces that this host leaves and passes its ownership on. gauges is
-    // the state of the upstreams it owns.
-    void leave(std::vector<upstream_gauge> const& gauges);
+    // Announces that this host leaves and passes its ownership on.
+    void leave();
 
     control_status status() const;
     bool ready() const;
@@ -118,6 +123,10 @@
 
     // Publishes a new routing view when hosts or configuration changed.
     void update_view();
+    // Makes view_ fit hosts and configuration; false when it did so already.
+    bool renew_view();
+    // Sends the limits that the upstreams have earned to their new owners.
+    void send_handover(std::vector<upstream_gauge> const& gauges);
     std::vector<live_host> live_hosts() const;
     std::vector<crash_record> next_crashes();
     peer_address const* member_address(host_id const& id);
--- a/src/app/entry_host.cpp
+++ b/src/app/entry_host.cpp
@@ -187,6 +187,31 @@
     }
 }
 
+void entry_host::give_up(std::shared_ptr<routing_view const> view,
+                         std::function<void(std::vector<upstream_gauge>)> done)
+{
+    struct gathering
+    {
+        std::vector<upstream_gauge> gauges;
+        std::size_t missing = 0;
+        std::function<void(std::vector<upstream_gauge>)> done;
+    };
+    auto const all = std::make_shared<gathering>();
+    all->missing = lanes_.size();
+    all->done = std::move(done);
+    for (auto& it : lanes_) {
+        it->post([this, &it, view, all] {
+            auto const one = it->give_up(view);
+            boost::asio::post(control_.io(), [all, one] {
+                all->gauges.insert(all->gauges.end(), one.begin(), one.end());
+                if (--all->missing == 0) {
+                    all->done(std::move(all->gauges));
+                }
+            });
+        });
+    }
+}
+
 void entry_host::collect(std::function<void(lane_status)> f)
 {
     struct gathering
@@ -233,8 +258,7 @@
     draining_ = true;
     drain_deadline_ = core_now() + settings_.drain_timeout;
     events_.report(event_kind::host_draining, settings_.name, "");
-    collect(
-        [this](lane_status const& status) { control_.leave(status.gauges); });
+    control_.leave();
     drain_timer_.expires_after(settings_.drain_linger);
     drain_timer_.async_wait([this](boost::system::error_code ec) {
         if (!ec) {
--- a/src/app/entry_host.hpp
+++ b/src/app/entry_host.hpp
@@ -52,6 +52,9 @@
     void publish(std::shared_ptr<routing_view const> view) override;
     void publish(std::vector<fingerprint> const& refused) override;
     void handover(std::vector<upstream_gauge> const& gauges) override;
+    void
+    give_up(std::shared_ptr<routing_view const> view,
+            std::function<void(std::vector<upstream_gauge>)> done) override;
 
     lane& lane_of(peer_handle peer);
     void collect(std::function<void(lane_status)> f);
--- a/src/app/lane.cpp
+++ b/src/app/lane.cpp
@@ -83,6 +83,14 @@
     submit_.on_view(view);
 }
 
+std::vector<upstream_gauge>
+lane::give_up(std::shared_ptr<routing_view const> const& view)
+{
+    auto gauges = owner_.gauges();
+    set_view(view);
+    return gauges;
+}
+
 void lane::set_quarantine(std::vector<fingerprint> const& prints)
 {
     owner_.set_quarantine(prints);
--- a/src/app/lane.hpp
+++ b/src/app/lane.hpp
@@ -87,6 +87,9 @@
 
     // The functions below run on the lane's thread.
     void set_view(std::shared_ptr<routing_view const> view);
+    // State of the owned upstreams, taken before the view applies.
+    std::vector<upstream_gauge>
+    give_up(std::shared_ptr<routing_view const> const& view);
     void set_quarantine(std::vector<fingerprint> const& prints);
     void set_handover(std::vector<upstream_gauge> const& gauges);
     // Accepts no more callers' connections.
