Prefer replicas elsewhere to one that drains; add drain tests

Cause: a replica that its owner reported as leaving cost less than one in another data centre. When an upstream announced its shutdown itself, hosts of its data centre kept sending to it and retried each request. With 6 services that is one retry in 6 sub-requests, above the budget of 10 %, and queries ended with coverage_too_low.

Change: a leaving replica goes after every other that may hold the version.

--- a/src/core/query/replica_choice.cpp
+++ b/src/core/query/replica_choice.cpp
@@ -7,9 +7,12 @@
 
 namespace {
 
-constexpr std::uint32_t remote_penalty = 8;    // above every condition
-constexpr std::uint32_t unheard_penalty = 64;  // above every known holder
-constexpr std::uint32_t lacking_penalty = 128; // above every possible holder
+constexpr std::uint32_t remote_penalty = 8;   // above every condition
+constexpr std::uint32_t unheard_penalty = 64; // above every known holder
+// Above every possible holder that takes work: each request to such an
+// upstream costs a retry, and its share can exceed the retry budget.
+constexpr std::uint32_t leaving_penalty = 96;
+constexpr std::uint32_t lacking_penalty = 256; // above every possible holder
 constexpr std::uint32_t never = ~std::uint32_t{0};
 
 std::uint32_t condition_penalty(upstream_condition condition)
@@ -28,7 +31,7 @@
     case upstream_condition::out:
         break;
     }
-    return 4;
+    return leaving_penalty;
 }
 
 bool takes_hedges(upstream_condition condition)
--- a/tests/core/query/replica_choice_test.cpp
+++ b/tests/core/query/replica_choice_test.cpp
@@ -64,6 +64,19 @@
     CHECK(drawn.contains(w.id(0, 0)) && drawn.contains(w.id(0, 2)));
 }
 
+// Guards against preferring a local replica that drains: every request to it
+// takes a retry, and the retry budget runs out.
+TEST(replica_choice, draining_replica_goes_after_those_elsewhere)
+{
+    query_world w({.services = 1, .replicas = 2, .data_centres = 2});
+    replica_case c(w);
+    c.report(w.id(0, 0), upstream_condition::leaving, from_ms(3));
+    c.report(w.id(0, 1), upstream_condition::saturated, from_ms(90));
+    auto const drawn = c.draw(w.now);
+    LONGS_EQUAL(1, drawn.size());
+    CHECK(drawn.contains(w.id(0, 1)));
+}
+
 // Guards against work for a cold replica while a warm one is there, and
 // against a replica that is avoided for ever after one bad report.
 TEST(replica_choice, condition_counts_while_it_is_recent)
