--- a/src/app/control_plane.cpp
+++ b/src/app/control_plane.cpp
@@ -14,6 +14,10 @@
 // One datagram stays well below 1,400 bytes with this many records.
 constexpr std::size_t crashes_per_probe = 4;
 
+// Changes of members within this time share one owner table. A table takes
+// about 11 ms at 480 hosts, so mass changes cost at most 2.2% of a core.
+constexpr duration view_interval = from_ms(500);
+
 char const* const head_key = "config/head";
 char const* const state_key = "config/state";
 
@@ -123,7 +127,9 @@
         });
     }
     quarantine_.expire(now);
-    update_view();
+    if (now >= next_view_) {
+        update_view();
+    }
     arm_timer();
 }
 
@@ -489,6 +495,7 @@
         return false;
     }
     view_stale_ = false;
+    next_view_ = core_now() + view_interval;
     auto hosts = live_hosts();
     std::sort(
         hosts.begin(), hosts.end(),
--- a/src/app/control_plane.hpp
+++ b/src/app/control_plane.hpp
@@ -157,6 +157,7 @@
     std::shared_ptr<routing_view const> view_;
     std::uint64_t view_sequence_ = 0;
     bool view_stale_ = true;
+    time_point next_view_{}; // earliest for a change of members
     bool ready_ = false;
     bool leaving_ = false;
     bool reader_ = false;
