Measure cold starts, drains, slot limits and the loss of an owner

standin-upstream takes the control "restart": it loses its work and its connections and is cold. Its listener stays open, because a restart under load with a closed listener ended the stand-in in one trial: most likely the port was taken before it was opened again (not confirmed).

--- a/measure/definitions.cpp
+++ b/measure/definitions.cpp
@@ -10,6 +10,16 @@
          run_repartition},
         {"overhead", "latency against direct calls of the same upstreams",
          run_overhead},
+        {"cold", "all upstreams restart cold under load, with and without ramp",
+         run_cold},
+        {"drain", "queries while data centre, upstream or host leaves",
+         run_drain},
+        {"limits",
+         "slots and connections kept by 7 hosts, with and without "
+         "owners' limits",
+         run_limits},
+        {"owner-loss", "queries and slots when an owner is killed",
+         run_owner_loss},
     };
     return list;
 }
--- a/measure/measure.hpp
+++ b/measure/measure.hpp
@@ -28,5 +28,9 @@
 result run_tail();
 result run_repartition();
 result run_overhead();
+result run_cold();
+result run_drain();
+result run_limits();
+result run_owner_loss();
 
 } // namespace measure
--- a/standins/upstream/control.cpp
+++ b/standins/upstream/control.cpp
@@ -101,6 +101,9 @@
         else if (name == "cold" && on) {
             capacity_.turn_cold();
         }
+        else if (name == "restart" && on) {
+            restart();
+        }
         else if (name == "reset_counters" && on) {
             reset_counters();
         }
--- a/standins/upstream/upstream.cpp
+++ b/standins/upstream/upstream.cpp
@@ -214,6 +214,15 @@
     });
 }
 
+// The listener stays open: between closing and opening it another process may
+// get the port.
+void upstream::restart()
+{
+    capacity_.clear();
+    server_.drop_connections();
+    capacity_.turn_cold();
+}
+
 void upstream::cancel(exchange& e)
 {
     auto const id = whole(e.path[1]);
--- a/standins/upstream/upstream.hpp
+++ b/standins/upstream/upstream.hpp
@@ -39,6 +39,7 @@
     void submit(exchange_ptr const& e, bool crashes,
                 std::function<void()> start, std::function<void()> finish);
     void crash();
+    void restart();
     void cancel(exchange& e);
     void on_control(exchange_ptr const& e);
     bool set_controls(boost::json::object const& o);
