--- a/measure/measure.hpp
+++ b/measure/measure.hpp
@@ -34,5 +34,9 @@
 result run_control();
 result run_traffic();
 result run_slopes();
+result run_cold();
+result run_drain();
+result run_limits();
+result run_owner_loss();
 
 } // namespace measure
