--- a/src/adapters/logging/logger.cpp
+++ b/src/adapters/logging/logger.cpp
@@ -1,15 +1,16 @@
 #include "adapters/logging/logger.hpp"
 
-#include <memory>
-
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 
+#include <memory>
+
 namespace snipemill {
 
 namespace {
--- a/src/adapters/peer/peer_connection.cpp
+++ b/src/adapters/peer/peer_connection.cpp
@@ -52,7 +52,8 @@
     asio::post(io_, [self = shared_from_this(), stream] {
         if (self->discarded_) {
             stream->on_discarded();
-        } else {
+        }
+        else {
             stream->fail(errc::peer_unreachable, false);
         }
     });
