Test keyed requests with resends while parts fail

Requests that may not be repeated had no test with the real programs. The upstream stand-in gives each run an answer of its own, so that an answer of another run is noticed, and counts the connections that it closes. testbed::fleet starts a host again when one of its ports was taken while it was down: in a first run "bind: Address already in use" ended the test.

--- a/standins/upstream/control.cpp
+++ b/standins/upstream/control.cpp
@@ -169,6 +169,9 @@
     out["connection_violations"] = n.violations;
     out["collapses"] = counters_.collapses;
     out["crashes"] = counters_.crashes;
+    out["closed_before"] = counters_.closed_before;
+    out["closed_during"] = counters_.closed_during;
+    out["closed_after"] = counters_.closed_after;
     out["cancelled"] = counters_.cancelled;
     out["shed"] = counters_.shed;
     out["expired"] = counters_.expired;
--- a/standins/upstream/counters.hpp
+++ b/standins/upstream/counters.hpp
@@ -14,6 +14,9 @@
     std::uint64_t slot_violations = 0; // requests that came over the slots
     std::uint64_t collapses = 0;
     std::uint64_t crashes = 0;
+    std::uint64_t closed_before = 0; // connections, by close_execute
+    std::uint64_t closed_during = 0;
+    std::uint64_t closed_after = 0;
     std::uint64_t cancelled = 0;
     std::uint64_t shed = 0;
     std::uint64_t expired = 0;
--- a/standins/upstream/upstream.cpp
+++ b/standins/upstream/upstream.cpp
@@ -155,6 +155,7 @@
         return;
     }
     if (execute_fault_ == execute_fault::before) {
+        ++counters_.closed_before;
         e->drop();
         return;
     }
@@ -169,13 +170,21 @@
 void upstream::finish_execute(exchange& e, bool rejected)
 {
     if (execute_fault_ == execute_fault::during) {
+        ++counters_.closed_during;
         e.drop();
         return;
     }
+    // No two runs have the same answer, so that a caller can tell whether a
+    // resend was given the first one.
+    auto const run = std::to_string(server_.port()) + "-" +
+                     std::to_string(++execute_answers_);
+    std::string const result = rejected ? "rejected" : "executed";
     response r{.status = rejected ? 409U : 200U,
-               .body =
-                   rejected ? R"({"rejected":true})" : R"({"executed":true})"};
-    r.close = execute_fault_ == execute_fault::after;
+               .body = "{\"" + result + R"(":true,"run":")" + run + "\"}"};
+    if (execute_fault_ == execute_fault::after) {
+        ++counters_.closed_after;
+        r.close = true;
+    }
     e.reply(std::move(r));
 }
 
--- a/standins/upstream/upstream.hpp
+++ b/standins/upstream/upstream.hpp
@@ -64,6 +64,7 @@
     std::string status_;
     clock_type::time_point status_at_;
     execute_fault execute_fault_ = execute_fault::none;
+    std::uint64_t execute_answers_ = 0;
     bool draining_ = false;
 };
 
--- a/testbed/fleet.cpp
+++ b/testbed/fleet.cpp
@@ -186,16 +186,41 @@
     return out.str();
 }
 
+namespace {
+
+// Empty when the program ends before it has printed a line.
+std::string first_line(child_process& p)
+{
+    try {
+        return p.read_line();
+    }
+    catch (std::runtime_error const&) {
+        return {};
+    }
+}
+
+} // namespace
+
 void fleet::start_host(std::size_t i)
 {
     auto& host = hosts_[i];
     auto const file = folder_ / (host.name + ".yaml");
     std::ofstream(file) << settings_of(host);
-    host.process = std::make_unique<child_process>(
-        std::vector<std::string>{program("snipemill"), "serve", "--config",
-                                 file.string()},
-        folder_ / (host.name + ".log"));
-    auto const line = host.process->read_line();
+    std::string line;
+    // While a host is down, another program's connection may be given one of
+    // its ports for a moment; the host then cannot listen.
+    auto const started = wait_until([&] {
+        host.process = std::make_unique<child_process>(
+            std::vector<std::string>{program("snipemill"), "serve", "--config",
+                                     file.string()},
+            folder_ / (host.name + ".log"));
+        line = first_line(*host.process);
+        return !line.empty();
+    });
+    if (!started) {
+        throw std::runtime_error("the host does not start, logs are in " +
+                                 folder_.string());
+    }
     unsigned caller = 0;
     unsigned operators = 0;
     unsigned peer = 0;
