Spread removals of crash records and end expired quarantines

Cause, from reading the code: an operator's removal erased the record on one host only, and the probes of its peers brought it back. Expired records were dropped without telling the lanes, so they refused the request until another record changed. Change: a record counts its removals, and more removals replace fewer; the lanes are told whenever the refused fingerprints differ.

--- a/src/adapters/codec/peer_codec_member.cpp
+++ b/src/adapters/codec/peer_codec_member.cpp
@@ -46,6 +46,8 @@
 constexpr int max_probe_crashes = 1024;
 // Upstreams named in one crash record.
 constexpr int max_crash_upstreams = 64;
+// Far more than operators make; leaves room to count on.
+constexpr std::uint32_t max_crash_removals = 1'000'000;
 // Records older than this have expired everywhere.
 constexpr std::uint64_t max_crash_age_ms = 86'400'000;
 
@@ -60,11 +62,12 @@
     set_upstreams(*out.mutable_upstreams(), c.upstreams);
     out.set_age_ms(age_in_ms(now, c.last_seen));
     out.set_manual(c.manual);
+    out.set_removals(c.removals);
 }
 
 bool read_crash(time_point now, wire::CrashRecord const& m, crash_record& out)
 {
-    if (m.age_ms() > max_crash_age_ms ||
+    if (m.age_ms() > max_crash_age_ms || m.removals() > max_crash_removals ||
         m.upstreams_size() > max_crash_upstreams) {
         return false;
     }
@@ -72,6 +75,7 @@
     out.upstreams = upstreams_of(m.upstreams());
     out.last_seen = now - from_ms(static_cast<std::int64_t>(m.age_ms()));
     out.manual = m.manual();
+    out.removals = m.removals();
     // Distinct and ascending.
     return std::adjacent_find(out.upstreams.begin(), out.upstreams.end(),
                               std::greater_equal<>()) == out.upstreams.end();
--- a/src/app/control_plane.cpp
+++ b/src/app/control_plane.cpp
@@ -123,6 +123,7 @@
         });
     }
     quarantine_.expire(now);
+    crashes_changed();
     update_view();
     arm_timer();
 }
@@ -132,13 +133,10 @@
 void control_plane::on_probe(probe_packet packet)
 {
     events_->received(packet.time);
-    auto changed = false;
     for (auto const& it : packet.crashes) {
-        changed = quarantine_.merge(core_now(), it) || changed;
-    }
-    if (changed) {
-        crashes_changed();
+        quarantine_.merge(core_now(), it);
     }
+    crashes_changed();
     with_members([&](time_point now, member_actions& out) {
         members_->on_message(now, packet.message, out);
     });
@@ -565,7 +563,11 @@
 
 void control_plane::crashes_changed()
 {
-    lanes_->publish(quarantine_.refused_prints(core_now()));
+    auto refused = quarantine_.refused_prints(core_now());
+    if (refused != refused_) {
+        refused_ = std::move(refused);
+        lanes_->publish(refused_);
+    }
 }
 
 // Status
--- a/src/app/control_plane.hpp
+++ b/src/app/control_plane.hpp
@@ -74,6 +74,7 @@
     control_status status() const;
     bool ready() const;
     quarantine& crashes() { return quarantine_; }
+    // Tells the lanes which requests are refused, if that has changed.
     void crashes_changed();
     config_snapshot const& config() const { return spread_->store().state(); }
 
@@ -142,7 +143,8 @@
     platform_client platform_;
     peer_client peers_;
     quarantine quarantine_;
-    std::size_t next_crash_ = 0; // rotates the records that probes carry
+    std::vector<fingerprint> refused_; // as the lanes know it
+    std::size_t next_crash_ = 0;       // rotates the records that probes carry
 
     std::shared_ptr<topology const> topology_;
     std::shared_ptr<routing_view const> view_;
--- a/src/app/host_status.cpp
+++ b/src/app/host_status.cpp
@@ -58,7 +58,9 @@
 {
     json::array out;
     for (auto const& it : records) {
-        out.push_back(crash_json(it));
+        if (!it.removed()) {
+            out.push_back(crash_json(it));
+        }
     }
     return out;
 }
--- a/src/core/quarantine/quarantine.cpp
+++ b/src/core/quarantine/quarantine.cpp
@@ -83,8 +83,10 @@
 bool quarantine::on_crash(time_point now, fingerprint print,
                           upstream_id upstream)
 {
-    return merge(now,
-                 {.print = print, .upstreams = {upstream}, .last_seen = now});
+    return merge(now, {.print = print,
+                       .upstreams = {upstream},
+                       .last_seen = now,
+                       .removals = removals_of(print)});
 }
 
 bool quarantine::merge(time_point now, crash_record const& record)
@@ -99,12 +101,19 @@
         it = records_.insert(
             it, {.print = record.print, .last_seen = time_point::min()});
     }
-    add_upstreams(*it, record.upstreams,
-                  std::max<std::size_t>(settings_.distinct_upstreams,
-                                        min_upstreams_kept));
     // A clock that is ahead must not keep a record longer.
     it->last_seen = std::max(it->last_seen, std::min(record.last_seen, now));
-    it->manual = it->manual || record.manual;
+    if (record.removals > it->removals) {
+        it->removals = record.removals;
+        it->upstreams.clear();
+        it->manual = false;
+    }
+    if (record.removals == it->removals) {
+        add_upstreams(*it, record.upstreams,
+                      std::max<std::size_t>(settings_.distinct_upstreams,
+                                            min_upstreams_kept));
+        it->manual = it->manual || record.manual;
+    }
     auto const after = reaches(*it, settings_);
     drop_least();
     return after && !before;
@@ -135,16 +144,21 @@
 
 void quarantine::add(time_point now, fingerprint print)
 {
-    merge(now, {.print = print, .last_seen = now, .manual = true});
+    merge(now, {.print = print,
+                .last_seen = now,
+                .manual = true,
+                .removals = removals_of(print)});
 }
 
 bool quarantine::remove(fingerprint print)
 {
     auto const it = lower_bound(print);
-    if (it == records_.end() || it->print != print) {
+    if (it == records_.end() || it->print != print || it->removed()) {
         return false;
     }
-    records_.erase(it);
+    it->upstreams.clear();
+    it->manual = false;
+    ++it->removals;
     return true;
 }
 
@@ -171,6 +185,12 @@
     return prints;
 }
 
+std::uint32_t quarantine::removals_of(fingerprint print)
+{
+    auto const it = lower_bound(print);
+    return it != records_.end() && it->print == print ? it->removals : 0;
+}
+
 std::vector<crash_record>::iterator quarantine::lower_bound(fingerprint print)
 {
     return std::lower_bound(
--- a/src/core/quarantine/quarantine.hpp
+++ b/src/core/quarantine/quarantine.hpp
@@ -26,6 +26,12 @@
     std::vector<upstream_id> upstreams; // distinct, ascending
     time_point last_seen{};
     bool manual = false; // added by an operator
+    // How often operators removed it. A record with more removals replaces
+    // one with fewer, so that peers do not bring a removed entry back.
+    std::uint32_t removals = 0;
+
+    // Whether only the removal is left of it.
+    bool removed() const { return upstreams.empty() && !manual; }
 
     friend bool operator==(crash_record const&, crash_record const&) = default;
 };
@@ -45,6 +51,7 @@
     bool merge(time_point now, crash_record const& record);
     bool refused(time_point now, fingerprint print) const;
     void add(time_point now, fingerprint print); // by an operator
+    // Keeps the record as removed until it expires, for the peers.
     bool remove(fingerprint print);
     void expire(time_point now);
 
@@ -53,6 +60,7 @@
 
 private:
     std::vector<crash_record>::iterator lower_bound(fingerprint print);
+    std::uint32_t removals_of(fingerprint print);
     void drop_least();
 
     quarantine_settings settings_;
--- a/tests/adapters/codec/peer_codec_test.cpp
+++ b/tests/adapters/codec/peer_codec_test.cpp
@@ -65,7 +65,8 @@
         return crash_record{gen::id<fingerprint>(),
                             {upstream_id(1), upstream_id(7)},
                             now - from_ms(*rc::gen::inRange(0, 600'000)),
-                            gen::any<bool>()};
+                            gen::any<bool>(),
+                            *rc::gen::inRange(0U, 1000U)};
     });
     return p;
 }
--- a/tests/core/quarantine/quarantine_test.cpp
+++ b/tests/core/quarantine/quarantine_test.cpp
@@ -65,6 +65,29 @@
     CHECK(!q.refused(start, print));
 }
 
+// Guards against a peer's older record that brings a removed entry back, and
+// against a removal that hides later crashes.
+TEST(quarantine, a_removal_reaches_peers)
+{
+    quarantine a({});
+    quarantine b({});
+    a.on_crash(start, print, upstream_id(1));
+    a.on_crash(start, print, upstream_id(2));
+    auto const old = a.records()[0];
+    b.merge(start, old);
+    CHECK(a.remove(print));
+    b.merge(start, a.records()[0]);
+    a.merge(start, old);
+    b.merge(start, old);
+    CHECK(!a.refused(start, print));
+    CHECK(!b.refused(start, print));
+    CHECK(a.records() == b.records());
+    b.on_crash(start, print, upstream_id(1));
+    b.on_crash(start, print, upstream_id(2));
+    a.merge(start, b.records()[0]);
+    CHECK(a.refused(start, print));
+}
+
 // Guards against records that grow without bound, and against new suspects
 // that push out what is refused.
 TEST(quarantine, is_bounded_and_keeps_refused_entries)
@@ -103,6 +126,7 @@
                             upstream_id(random.below(20))};
             it.last_seen = start - duration(random.below(1000));
             it.manual = random.below(20) == 0;
+            it.removals = random.below(3);
         }
         quarantine a({});
         quarantine b({});
