Add the measures submit and crash

submit sends 2,400 keys with resends to other hosts while connections close, platform answers are lost, the platform is down and hosts are killed. crash sends a crashing query beside normal ones and measures the first step's cost.

--- a/measure/definitions.cpp
+++ b/measure/definitions.cpp
@@ -10,6 +10,10 @@
          run_repartition},
         {"overhead", "latency against direct calls of the same upstreams",
          run_overhead},
+        {"submit", "keyed requests and resends while everything fails",
+         run_submit},
+        {"crash", "a query that crashes upstreams, and the first step's cost",
+         run_crash},
     };
     return list;
 }
--- a/measure/measure.hpp
+++ b/measure/measure.hpp
@@ -28,5 +28,7 @@
 result run_tail();
 result run_repartition();
 result run_overhead();
+result run_submit();
+result run_crash();
 
 } // namespace measure
--- a/testbed/load.cpp
+++ b/testbed/load.cpp
@@ -118,8 +118,10 @@
                 i, std::chrono::duration_cast<std::chrono::milliseconds>(
                        now - start_));
         }
-        http_request request{
-            .method = "POST", .target = "/v1/query", .body = options_.body};
+        http_request request{.method = "POST",
+                             .target = "/v1/query",
+                             .body = options_.body_of ? options_.body_of(i)
+                                                      : options_.body};
         clients_[i % clients_.size()]->send(
             std::move(request), options_.timeout,
             [this, i, now](http_result const& result) {
--- a/testbed/load.hpp
+++ b/testbed/load.hpp
@@ -40,8 +40,10 @@
 {
     std::vector<load_target> targets; // used in turn
     std::string body;                 // of POST /v1/query
-    double rate = 100;                // queries per second, open loop
-    std::uint32_t count = 1000;       // queries to send
+    // Body of the query with this number; replaces body when it is set.
+    std::function<std::string(std::uint32_t)> body_of = {};
+    double rate = 100;          // queries per second, open loop
+    std::uint32_t count = 1000; // queries to send
     snipemill::duration timeout = snipemill::from_ms(10'000);
     // Called before each query with its number and the elapsed time.
     std::function<void(std::uint32_t, std::chrono::milliseconds)> before = {};
