--- a/src/core/owner/owner_engine_impl.cpp
+++ b/src/core/owner/owner_engine_impl.cpp
@@ -23,9 +23,8 @@
                          std::uint32_t lane, std::uint32_t lanes,
                          std::uint64_t seed)
     : settings(engine_settings), timers(expected_timers),
-      work(timers, counters),
-      dispatcher(settings, roster, work, timers, counters), lane_(lane),
-      lanes_(lanes), random_(seed)
+      work(timers, counters), dispatcher(roster, work, timers, counters),
+      lane_(lane), lanes_(lanes), random_(seed)
 {
     assert(lanes > 0 && lane < lanes);
 }
--- a/src/core/owner/upstream_dispatcher.cpp
+++ b/src/core/owner/upstream_dispatcher.cpp
@@ -32,12 +32,11 @@
 
 } // namespace
 
-upstream_dispatcher::upstream_dispatcher(owner_engine_settings const& settings,
-                                         upstream_roster& roster,
+upstream_dispatcher::upstream_dispatcher(upstream_roster& roster,
                                          owner_work& work, timer_queue& timers,
                                          owner_counters& counters)
-    : settings_(&settings), roster_(&roster), work_(&work), timers_(&timers),
-      counters_(&counters), health_(counters), jobs_(expected_jobs)
+    : roster_(&roster), work_(&work), timers_(&timers), counters_(&counters),
+      health_(counters), jobs_(expected_jobs)
 {}
 
 void upstream_dispatcher::on_batch(time_point now, peer_handle peer,
--- a/src/core/owner/upstream_dispatcher.hpp
+++ b/src/core/owner/upstream_dispatcher.hpp
@@ -16,8 +16,7 @@
 class upstream_dispatcher
 {
 public:
-    upstream_dispatcher(owner_engine_settings const& settings,
-                        upstream_roster& roster, owner_work& work,
+    upstream_dispatcher(upstream_roster& roster, owner_work& work,
                         timer_queue& timers, owner_counters& counters);
 
     void on_batch(time_point now, peer_handle peer, query_batch batch,
@@ -85,7 +84,6 @@
     void release(time_point now, slot_handle h, owner_actions& out);
     void schedule(owned_upstream& u);
 
-    owner_engine_settings const* settings_;
     upstream_roster* roster_;
     owner_work* work_;
     timer_queue* timers_;
