--- a/measure/definitions.cpp
+++ b/measure/definitions.cpp
@@ -32,6 +32,10 @@
          run_limits},
         {"owner-loss", "queries and slots when an owner is killed",
          run_owner_loss},
+        {"submit", "keyed requests and resends while everything fails",
+         run_submit},
+        {"crash", "a query that crashes upstreams, and the first step's cost",
+         run_crash},
     };
     return list;
 }
--- a/measure/measure.hpp
+++ b/measure/measure.hpp
@@ -38,5 +38,7 @@
 result run_drain();
 result run_limits();
 result run_owner_loss();
+result run_submit();
+result run_crash();
 
 } // namespace measure
