--- a/src/app/control_plane.cpp
+++ b/src/app/control_plane.cpp
@@ -336,7 +336,7 @@
                                       .announce = a.number,
                                       .from = host_id(settings_->name)};
     peers_.open(*address, "/peer/config", encode(events_->stamp(), request),
-                [](stream_event) {});
+                [](stream_event const&) {});
 }
 
 void control_plane::run_action(config_adopted& a)
@@ -553,7 +553,7 @@
                                        .upstreams = by_host[i]};
         peers_.open({.id = host.id, .ip = host.ip, .port = host.peer_port},
                     "/peer/handover", encode(events_->stamp(), message),
-                    [](stream_event) {});
+                    [](stream_event const&) {});
     }
 }
 
--- a/src/app/lane.cpp
+++ b/src/app/lane.cpp
@@ -44,16 +44,14 @@
     http.port = caller_port;
     http.reuse_port = env_.owners->lanes() > 1;
     callers_ = std::make_unique<http_server>(
-        io_, http, [this](http_request request, http_responder respond) {
-            return on_http(std::move(request), std::move(respond));
+        io_, http, [this](http_request const& request, http_responder respond) {
+            return on_http(request, std::move(respond));
         });
 
     auto peer = peer_options(*env_.settings);
     peer.port = peer_port;
-    peer_server_ =
-        std::make_unique<peer_server>(io_, peer, [this](peer_request request) {
-            on_peer(std::move(request));
-        });
+    peer_server_ = std::make_unique<peer_server>(
+        io_, peer, [this](peer_request const& request) { on_peer(request); });
 }
 
 void lane::run()
--- a/src/app/lane.hpp
+++ b/src/app/lane.hpp
@@ -119,14 +119,15 @@
     };
 
     // Callers.
-    std::function<void()> on_http(http_request request, http_responder respond);
+    std::function<void()> on_http(http_request const& request,
+                                  http_responder respond);
     std::function<void()> on_query_request(http_request const& request,
                                            http_responder respond);
     std::function<void()> on_submit_request(http_request const& request,
                                             http_responder respond);
 
     // Requests of other hosts.
-    void on_peer(peer_request request);
+    void on_peer(peer_request const& request);
     void serve_query(peer_request const& request);
     void serve_describe(peer_request const& request);
     void serve_submit(peer_request const& request);
--- a/src/app/lane_callers.cpp
+++ b/src/app/lane_callers.cpp
@@ -19,7 +19,7 @@
 
 } // namespace
 
-std::function<void()> lane::on_http(http_request request,
+std::function<void()> lane::on_http(http_request const& request,
                                     http_responder respond)
 {
     auto const is_query = request.target == query_route;
--- a/src/app/lane_peers.cpp
+++ b/src/app/lane_peers.cpp
@@ -7,7 +7,7 @@
 
 // The part of a lane that serves other hosts.
 
-void lane::on_peer(peer_request request)
+void lane::on_peer(peer_request const& request)
 {
     if (request.path == "/peer/query") {
         serve_query(request);
@@ -54,8 +54,7 @@
     env_.events->received(asked->time);
     auto const responder = request.responder;
     auto const peer = router_.open_describe(
-        std::move(asked->message),
-        [this, responder](describe_answer const& answer) {
+        asked->message, [this, responder](describe_answer const& answer) {
             responder->send(encode(env_.events->stamp(), answer), true);
         });
     if (request.on_gone != nullptr) {
--- a/src/app/lane_queries.cpp
+++ b/src/app/lane_queries.cpp
@@ -100,7 +100,7 @@
     }
     cancel_request const request{.id = a.id, .targets = a.targets};
     peers_.open(*address, "/peer/cancel", encode(env_.events->stamp(), request),
-                [](stream_event) {});
+                [](stream_event const&) {});
 }
 
 void lane::run_action(send_describe& a)
@@ -108,12 +108,11 @@
     auto const id = a.request.id;
     auto const to = a.to;
     if (is_self(to)) {
-        router_.open_describe(
-            std::move(a.request), [this, to](describe_answer answer) {
-                with_query([&](time_point now, query_actions& out) {
-                    query_.on_described(now, to, std::move(answer), out);
-                });
+        router_.open_describe(a.request, [this, to](describe_answer answer) {
+            with_query([&](time_point now, query_actions& out) {
+                query_.on_described(now, to, std::move(answer), out);
             });
+        });
         return;
     }
     auto const* address = address_of(to);
--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -66,8 +66,8 @@
     hosts.push_back({.name = text_of(*own, "host"),
                      .data_centre = text_of(*own, "data_centre"),
                      .operator_endpoint = first,
-                     .member_state = "alive",
-                     .status = std::move(own)});
+                     .member_state = "alive"});
+    hosts.back().status = std::move(own);
     std::sort(hosts.begin(), hosts.end(),
               [](fleet_host const& a, fleet_host const& b) {
                   return std::tie(a.data_centre, a.name) <
--- a/src/cli/ticket.cpp
+++ b/src/cli/ticket.cpp
@@ -34,7 +34,7 @@
     return out.str();
 }
 
-leaf::result<ticket> read_ticket(std::string const& file)
+leaf::result<void> read_ticket(std::string const& file, ticket& out)
 {
     std::ifstream in(file, std::ios::binary);
     if (!in) {
@@ -45,13 +45,14 @@
     text << in.rdbuf();
     auto parsed = parse_ticket_file(text.str());
     if (auto const* faults = std::get_if<std::vector<parse_fault>>(&parsed)) {
-        file_faults out{.file = file, .faults = {}};
+        file_faults found{.file = file, .faults = {}};
         for (auto const& it : *faults) {
-            out.faults.push_back({it.line, it.reason});
+            found.faults.push_back({it.line, it.reason});
         }
-        return leaf::new_error(std::move(out));
+        return leaf::new_error(std::move(found));
     }
-    return std::move(std::get<ticket>(parsed));
+    out = std::move(std::get<ticket>(parsed));
+    return {};
 }
 
 struct submission_printer
@@ -106,7 +107,8 @@
 leaf::result<int> submit(platform_access& platform, std::string const& file,
                          std::string const& nonce, output_format format)
 {
-    BOOST_LEAF_AUTO(change, read_ticket(file));
+    ticket change;
+    BOOST_LEAF_CHECK(read_ticket(file, change));
     if (!nonce.empty()) {
         change.nonce = nonce;
     }
@@ -155,7 +157,8 @@
 // Objects that a ticket file would add, change or remove.
 leaf::result<int> diff(platform_access& platform, std::string const& file)
 {
-    BOOST_LEAF_AUTO(change, read_ticket(file));
+    ticket change;
+    BOOST_LEAF_CHECK(read_ticket(file, change));
     BOOST_LEAF_AUTO(read, platform.read());
     auto const state = current_config(read);
     for (auto const& it : change.objects) {
--- a/src/cli/timeline.cpp
+++ b/src/cli/timeline.cpp
@@ -159,6 +159,7 @@
     BOOST_LEAF_AUTO(host, endpoint_of(args, "host"));
     BOOST_LEAF_AUTO(fleet, fetch_fleet(host));
     std::vector<endpoint> endpoints;
+    endpoints.reserve(fleet.size());
     for (auto const& it : fleet) {
         endpoints.push_back(it.operator_endpoint);
     }
