--- a/testbed/child_process.cpp
+++ b/testbed/child_process.cpp
@@ -14,8 +14,6 @@
 #include <stdexcept>
 #include <utility>
 
-extern char** environ;
-
 namespace testbed {
 
 namespace {
--- a/testbed/fleet.cpp
+++ b/testbed/fleet.cpp
@@ -32,9 +32,9 @@
 std::filesystem::path make_folder()
 {
     static std::atomic<int> count{0};
-    auto const path = std::filesystem::temp_directory_path() /
-                      ("snipemill-" + std::to_string(getpid()) + "-" +
-                       std::to_string(++count));
+    auto path = std::filesystem::temp_directory_path() /
+                ("snipemill-" + std::to_string(getpid()) + "-" +
+                 std::to_string(++count));
     std::filesystem::create_directories(path);
     return path;
 }
--- a/tests/core/config/data_centre_sim.hpp
+++ b/tests/core/config/data_centre_sim.hpp
@@ -179,7 +179,7 @@
     using input = std::function<void(config_spread&, spread_actions&)>;
 
     // Gives an input to a host after a random delay, or when its pause ends.
-    void call(std::size_t i, input f)
+    void call(std::size_t i, input const& f)
     {
         auto const at = now_ + from_ms(1 + random_.below(50));
         events_.emplace(at, [this, i, start = hosts_[i].start, f] {
--- a/tests/core/ownership/owner_table_test.cpp
+++ b/tests/core/ownership/owner_table_test.cpp
@@ -13,7 +13,9 @@
 std::shared_ptr<topology const> make_topology(int services, int replicas)
 {
     std::map<std::string, config_object> objects;
-    auto const add = [&](config_object o) { objects[object_key(o)] = o; };
+    auto const add = [&](config_object const& o) {
+        objects[object_key(o)] = o;
+    };
     add(data_centre_object{.name = "a"});
     add(data_centre_object{.name = "b"});
     add(group_object{.name = "g"});
@@ -36,6 +38,7 @@
 std::vector<live_host> make_hosts(int n)
 {
     std::vector<live_host> hosts;
+    hosts.reserve(static_cast<std::size_t>(n));
     for (int i = 0; i < n; ++i) {
         hosts.push_back({host_id("h" + std::to_string(i)), "a", "10.0.1.1",
                          static_cast<std::uint16_t>(7000 + i)});
