Split the control plane by job

Change: ownership and the services for lanes and operators have files of their own; code is moved, not changed.

--- a/src/app/control_plane.cpp
+++ b/src/app/control_plane.cpp
@@ -14,10 +14,6 @@
 // One datagram stays well below 1,400 bytes with this many records.
 constexpr std::size_t crashes_per_probe = 4;
 
-// Changes of members within this time share one owner table. A table takes
-// about 4 ms at 480 hosts, so mass changes cost at most 0.8% of a core.
-constexpr duration view_interval = from_ms(500);
-
 char const* const head_key = "config/head";
 char const* const state_key = "config/state";
 
@@ -453,63 +449,7 @@
     return nullptr;
 }
 
-// Ownership
-
-std::vector<live_host> control_plane::live_hosts() const
-{
-    std::vector<live_host> out;
-    auto const add = [&](member_info const& it) {
-        out.push_back({.id = it.id,
-                       .data_centre = it.data_centre,
-                       .ip = it.ip,
-                       .peer_port = it.peer_port});
-    };
-    auto alone = true;
-    for (auto const& it : members_->members()) {
-        if (it.state == member_state::alive ||
-            it.state == member_state::suspect) {
-            add(it);
-            alone = alone && it.data_centre != settings_->data_centre;
-        }
-    }
-    // The last host of a data centre keeps its upstreams while it leaves:
-    // nobody else can finish the requests that it has accepted.
-    if (!leaving_ || alone) {
-        add(members_->self());
-    }
-    return out;
-}
-
-void control_plane::update_view()
-{
-    if (renew_view()) {
-        lanes_->publish(view_);
-    }
-}
-
-bool control_plane::renew_view()
-{
-    if (!view_stale_) {
-        return false;
-    }
-    view_stale_ = false;
-    next_view_ = core_now() + view_interval;
-    auto hosts = live_hosts();
-    std::sort(
-        hosts.begin(), hosts.end(),
-        [](live_host const& a, live_host const& b) { return a.id < b.id; });
-    if (view_ && view_->config == topology_ &&
-        view_->owners->hosts() == hosts) {
-        return false;
-    }
-    auto view = std::make_shared<routing_view>();
-    view->sequence = ++view_sequence_;
-    view->self = host_id(settings_->name);
-    view->config = topology_;
-    view->owners = owner_table::compute(*topology_, std::move(hosts));
-    view_ = view;
-    return true;
-}
+// Shutdown
 
 void control_plane::leave()
 {
@@ -528,103 +468,4 @@
     });
 }
 
-void control_plane::send_handover(std::vector<upstream_gauge> const& gauges)
-{
-    std::vector<std::vector<upstream_gauge>> by_host(
-        view_->owners->hosts().size());
-    for (auto const& gauge : gauges) {
-        auto const& config = *view_->config;
-        auto const* upstream = config.find_upstream(gauge.upstream);
-        if (upstream == nullptr) {
-            continue;
-        }
-        auto const index =
-            static_cast<topology_index>(upstream - config.upstreams().data());
-        if (auto const first = view_->owners->owners(index).first) {
-            by_host[*first].push_back(gauge);
-        }
-    }
-    for (host_index i = 0; i < by_host.size(); ++i) {
-        if (by_host[i].empty()) {
-            continue;
-        }
-        auto const& host = view_->owners->hosts()[i];
-        handover_message const message{.from = view_->self,
-                                       .upstreams = by_host[i]};
-        peers_.open({.id = host.id, .ip = host.ip, .port = host.peer_port},
-                    "/peer/handover", encode(events_->stamp(), message),
-                    [](stream_event const&) {});
-    }
-}
-
-// Claims and crashes
-
-void control_plane::put_claim(std::string key, std::string value,
-                              std::uint64_t if_version,
-                              platform_callback<platform_object> f)
-{
-    boost::asio::post(io_,
-                      [this, key = std::move(key), value = std::move(value),
-                       if_version, f = std::move(f)]() mutable {
-                          platform_.put(std::move(key), std::move(value),
-                                        if_version, std::move(f));
-                      });
-}
-
-void control_plane::get_claim(std::string key,
-                              platform_callback<platform_object> f)
-{
-    boost::asio::post(io_,
-                      [this, key = std::move(key), f = std::move(f)]() mutable {
-                          platform_.get(std::move(key), std::move(f));
-                      });
-}
-
-void control_plane::report_crash(fingerprint print, upstream_id upstream)
-{
-    boost::asio::post(io_, [this, print, upstream] {
-        if (quarantine_.on_crash(core_now(), print, upstream)) {
-            events_->report(event_kind::request_quarantined,
-                            std::to_string(print.value), "");
-        }
-        crashes_changed();
-    });
-}
-
-void control_plane::crashes_changed()
-{
-    auto refused = quarantine_.refused_prints(core_now());
-    if (refused != refused_) {
-        refused_ = std::move(refused);
-        lanes_->publish(refused_);
-    }
-}
-
-// Status
-
-bool control_plane::ready() const
-{
-    auto const* own = topology_->find_data_centre(settings_->data_centre);
-    auto const taken_out = own != nullptr && !own->in;
-    return ready_ && !leaving_ && !taken_out && spread_->store().number() > 0;
-}
-
-control_status control_plane::status() const
-{
-    return {.ready = ready(),
-            .draining = leaving_,
-            .reader = reader_,
-            .platform_reachable = platform_.reachable(),
-            .config_number = spread_->store().number(),
-            .config_age = core_now() - spread_->confirmed_at(),
-            .members = members_->members(),
-            .crashes = quarantine_.records(),
-            .membership = members_->counters(),
-            .platform = platform_.counters(),
-            .peer = peers_.counters(),
-            .probe_bytes_sent = probes_->bytes_sent(),
-            .probe_bytes_received = probes_->bytes_received(),
-            .view = view_};
-}
-
 } // namespace snipemill
