Go around owners that send nothing

A root now asks a peer with open streams for a sign of life after 100 ms without input and counts it as silent after 250 to 300 ms, or when it cannot be connected to. Queries that wait only for silent owners are sent once more, under a budget of their own (a quarter of recent sub-requests), and the first answer counts. New sub-requests go to other replicas, then to the second owner, until the peer sends something. Streams stay open, so submits are neither repeated nor ended early. The old connection limit of 5 s stays; the client now counts it in ticks of 50 ms.

--- a/src/adapters/peer/h2_session.cpp
+++ b/src/adapters/peer/h2_session.cpp
@@ -15,10 +15,17 @@
 
 namespace {
 
-constexpr auto ping_interval = std::chrono::seconds(2);
-constexpr auto ping_timeout = std::chrono::seconds(3);
 constexpr auto linger_time = std::chrono::seconds(1);
-constexpr auto watch_interval = std::chrono::milliseconds(500);
+
+// The asking side finds a silent peer after 250 to 300 ms. TCP sends a lost
+// segment again after 200 ms at the earliest, so one loss is no silence. Both
+// sides close a connection with open streams after 5 s without input.
+constexpr auto client_tick = std::chrono::milliseconds(50);
+constexpr keep_alive_settings client_keep_alive{
+    .ping_after = 2, .silent_after = 5, .close_after = 100};
+constexpr auto server_tick = std::chrono::milliseconds(500);
+constexpr keep_alive_settings server_keep_alive{
+    .ping_after = 4, .silent_after = 0, .close_after = 10};
 
 // Frames up to this size are written together; more would only grow the
 // buffer, because the socket takes less at one time.
@@ -53,7 +60,9 @@
                        std::shared_ptr<peer_counters> counters, h2_hooks hooks)
     : socket_(std::move(socket)), timer_(socket_.get_executor()),
       linger_timer_(socket_.get_executor()), role_(role), options_(options),
-      counters_(std::move(counters)), hooks_(std::move(hooks))
+      counters_(std::move(counters)), hooks_(std::move(hooks)),
+      keep_alive_(role == h2_role::client ? client_keep_alive
+                                          : server_keep_alive)
 {
     boost::system::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
@@ -98,11 +107,16 @@
         static_cast<std::int32_t>(options_.window));
 }
 
-void h2_session::start()
+void h2_session::start(bool peer_silent)
 {
     submit_settings();
     schedule_write();
     read();
+    if (peer_silent) {
+        watching_ = true;
+        keep_alive_.start(true);
+        on_watch();
+    }
 }
 
 bool h2_session::accepts_requests() const
@@ -244,7 +258,9 @@
     }
     received_ = true;
     counters_->bytes_received += n;
-    last_input_ = clock::now();
+    if (keep_alive_.on_input() && hooks_.on_silence) {
+        hooks_.on_silence(false);
+    }
     auto const used = nghttp2_session_mem_recv(session_, input_.data(), n);
     if (closed_) {
         return;
@@ -396,47 +412,53 @@
     socket_.close(ignored);
 }
 
-// Runs while streams are open.
+// Runs while streams are open or the peer is silent.
 void h2_session::watch()
 {
     if (watching_ || closed_) {
         return;
     }
     watching_ = true;
-    last_ping_ = clock::now();
-    ping_open_ = false;
+    keep_alive_.start(false);
     on_watch();
 }
 
 void h2_session::on_watch()
 {
-    timer_.expires_after(watch_interval);
+    timer_.expires_after(role_ == h2_role::client ? client_tick : server_tick);
     timer_.async_wait([self = shared_from_this()](boost::system::error_code) {
         if (self->closed_) {
             return;
         }
-        if (self->streams_.empty()) {
+        if (self->streams_.empty() && !self->keep_alive_.silent()) {
             self->watching_ = false;
             return;
         }
-        auto const now = clock::now();
-        // Any input is a sign of life: an answer to a ping can be queued
-        // behind other frames.
-        if (self->last_input_ > self->last_ping_) {
-            self->ping_open_ = false;
-        }
-        if (self->ping_open_ && now - self->last_ping_ >= ping_timeout) {
-            self->close();
-            return;
-        }
-        if (!self->ping_open_ && now - self->last_ping_ >= ping_interval) {
-            self->ping_open_ = true;
-            self->last_ping_ = now;
-            nghttp2_submit_ping(self->session_, NGHTTP2_FLAG_NONE, nullptr);
-            self->schedule_write();
+        self->on_tick();
+        if (!self->closed_) {
+            self->on_watch();
         }
-        self->on_watch();
     });
 }
 
+void h2_session::on_tick()
+{
+    switch (keep_alive_.on_tick()) {
+    case keep_alive_step::none:
+        break;
+    case keep_alive_step::ping:
+        nghttp2_submit_ping(session_, NGHTTP2_FLAG_NONE, nullptr);
+        schedule_write();
+        break;
+    case keep_alive_step::silent:
+        if (hooks_.on_silence) {
+            hooks_.on_silence(true);
+        }
+        break;
+    case keep_alive_step::close:
+        close();
+        break;
+    }
+}
+
 } // namespace snipemill
--- a/src/adapters/peer/h2_session.hpp
+++ b/src/adapters/peer/h2_session.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/peer/h2_stream.hpp"
+#include "adapters/peer/keep_alive.hpp"
 #include "adapters/peer/peer_link.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -10,7 +11,6 @@
 #include <nghttp2/nghttp2.h>
 
 #include <array>
-#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -34,6 +34,9 @@
     std::function<std::shared_ptr<h2_stream>()> accept;
     // The connection is closed; all streams have been told.
     std::function<void()> on_broken;
+    // The peer has become silent while streams are open, or has sent
+    // something after that; client only.
+    std::function<void(bool)> on_silence;
 };
 
 // One HTTP/2 connection without TLS, driven from an io_context. Frames that
@@ -49,7 +52,8 @@
     h2_session(h2_session const&) = delete;
     h2_session& operator=(h2_session const&) = delete;
 
-    void start();
+    // peer_silent: the peer counts as silent until it sends something.
+    void start(bool peer_silent = false);
     // Opens a stream for what stream->out holds. Returns false when the
     // connection takes no new streams.
     bool request(std::shared_ptr<h2_stream> const& stream,
@@ -69,7 +73,6 @@
     std::size_t streams() const { return streams_.size(); }
 
 private:
-    using clock = std::chrono::steady_clock;
     friend struct h2_callbacks;
 
     void make_session();
@@ -91,6 +94,7 @@
     void shut();
     void watch();
     void on_watch();
+    void on_tick();
 
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
@@ -103,9 +107,7 @@
     std::unordered_map<std::int32_t, std::shared_ptr<h2_stream>> streams_;
     std::array<std::uint8_t, 16384> input_;
     std::string output_;
-    clock::time_point last_ping_{};
-    clock::time_point last_input_{};
-    bool ping_open_ = false;
+    keep_alive keep_alive_;
     bool watching_ = false;
     bool write_posted_ = false;
     bool writing_ = false;
--- a/src/adapters/peer/peer_client.cpp
+++ b/src/adapters/peer/peer_client.cpp
@@ -46,6 +46,8 @@
         }
     }
 
+    void watch_silence(silence_hook f) { on_silence_ = std::move(f); }
+
     peer_counters const& counters() const { return *counters_; }
 
 private:
@@ -69,8 +71,8 @@
             it = nullptr;
         }
         if (!it) {
-            it =
-                std::make_shared<peer_connection>(io_, to, options_, counters_);
+            it = std::make_shared<peer_connection>(io_, to, options_, counters_,
+                                                   on_silence_);
         }
         return it;
     }
@@ -78,6 +80,7 @@
     boost::asio::io_context& io_;
     peer_link_options options_;
     std::shared_ptr<peer_counters> counters_;
+    silence_hook on_silence_;
     std::unordered_map<host_id, std::shared_ptr<peer_connection>> peers_;
 };
 
@@ -103,6 +106,11 @@
     impl_->forget(id);
 }
 
+void peer_client::watch_silence(std::function<void(host_id const&, bool)> f)
+{
+    impl_->watch_silence(std::move(f));
+}
+
 peer_counters const& peer_client::counters() const
 {
     return impl_->counters();
--- a/src/adapters/peer/peer_connection.hpp
+++ b/src/adapters/peer/peer_connection.hpp
@@ -8,20 +8,28 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace snipemill {
 
+// Told when a peer becomes silent (true), and when it answers again or too
+// much time has passed to tell (false). It is not called from within open.
+using silence_hook = std::function<void(host_id const&, bool)>;
+
 // The connection to one peer: made on first use, made again after it broke,
-// with a growing delay after failures.
+// with a growing delay after failures. A peer that cannot be reached or sends
+// nothing while streams are open is silent; the connection is then tried
+// again without streams until the peer answers.
 class peer_connection : public std::enable_shared_from_this<peer_connection>
 {
 public:
     peer_connection(boost::asio::io_context& io, peer_address address,
                     peer_link_options const& options,
-                    std::shared_ptr<peer_counters> counters);
+                    std::shared_ptr<peer_counters> counters,
+                    silence_hook on_silence);
 
     peer_address const& address() const { return address_; }
     void open(std::shared_ptr<client_stream> const& stream);
@@ -36,6 +44,10 @@
     void on_connected(boost::system::error_code ec);
     void start_session();
     void on_broken(h2_session const* session);
+    void watch_connecting();
+    void set_silent(bool silent);
+    void try_again_later();
+    void try_again();
     void request(std::shared_ptr<client_stream> const& stream);
     void fail_later(std::shared_ptr<client_stream> const& stream);
 
@@ -46,6 +58,10 @@
     std::shared_ptr<peer_counters> counters_;
     boost::asio::ip::tcp::socket socket_; // while connecting
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer again_timer_;
+    silence_hook on_silence_;
+    connect_backoff::clock::time_point silent_since_{};
+    bool silent_ = false;
     std::shared_ptr<h2_session> session_;
     std::vector<std::shared_ptr<h2_session>> leaving_; // finish their streams
     std::vector<std::shared_ptr<client_stream>> waiting_;
--- a/src/adapters/peer/peer_link.hpp
+++ b/src/adapters/peer/peer_link.hpp
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -68,6 +69,9 @@
          std::function<void(stream_event)> f) override;
     // Closes the connection to a host that is gone.
     void forget(host_id const& id);
+    // f is told when a peer becomes silent, and when it answers again. The
+    // connections made after this call report; open never calls f.
+    void watch_silence(std::function<void(host_id const&, bool)> f);
     peer_counters const& counters() const;
 
 private:
--- a/src/app/lane.cpp
+++ b/src/app/lane.cpp
@@ -33,7 +33,11 @@
               env_.seed + 2),
       router_(env_.lane, *env_.owners), pool_(io_, pool_options()),
       watch_(*env_.events), peers_(io_, peer_options(*env_.settings))
-{}
+{
+    peers_.watch_silence([this](host_id const& peer, bool silent) {
+        on_peer_silence(peer, silent);
+    });
+}
 
 lane::~lane() = default;
 
--- a/src/app/lane.hpp
+++ b/src/app/lane.hpp
@@ -191,6 +191,7 @@
                           platform_result<platform_object> result);
     void on_claim_read(request_id id, platform_result<platform_object> result);
 
+    void on_peer_silence(host_id const& peer, bool silent);
     peer_address const* address_of(host_id const& id) const;
     bool is_self(host_id const& id) const;
     void arm_timer();
--- a/src/app/lane_queries.cpp
+++ b/src/app/lane_queries.cpp
@@ -103,6 +103,20 @@
                 [](stream_event const&) {});
 }
 
+// Submits are not concerned: what may have reached the owner must not be sent
+// again, and their streams stay open.
+void lane::on_peer_silence(host_id const& peer, bool silent)
+{
+    with_query([&](time_point now, query_actions& out) {
+        if (silent) {
+            query_.on_owner_silent(now, peer, out);
+        }
+        else {
+            query_.on_owner_answering(peer);
+        }
+    });
+}
+
 void lane::run_action(send_describe& a)
 {
     auto const id = a.request.id;
--- a/src/app/lane_status.hpp
+++ b/src/app/lane_status.hpp
@@ -47,6 +47,7 @@
     f("hedges_total", s.query.hedges);
     f("hedges_won_total", s.query.hedges_won);
     f("retries_total", s.query.retries);
+    f("moves_total", s.query.moves);
     f("reruns_total", s.query.reruns);
     f("late_parts_total", s.query.late_parts);
     f("wrong_version_results_total", s.query.wrong_version);
--- a/src/core/query/batch_sender.cpp
+++ b/src/core/query/batch_sender.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <span>
+#include <tuple>
 #include <utility>
 
 namespace snipemill {
@@ -23,7 +24,8 @@
     auto batch = what.pattern;
     batch.id = id;
     batch.hedge = what.kind == attempt_kind::hedge;
-    batch.retry = what.kind == attempt_kind::retry;
+    // A second owner takes only what is marked as a retry.
+    batch.retry = what.kind == attempt_kind::retry || targets.front().by_second;
     batch.targets.reserve(targets.size());
     for (auto const& it : targets) {
         table.add_attempt(it.upstream, it.position, it.service);
@@ -42,8 +44,10 @@
     target_span const all = shared.plan_by_host;
     for (std::size_t begin = 0; begin < all.size();) {
         auto const host = all[begin].host;
+        auto const by_second = all[begin].by_second;
         auto end = begin + 1;
-        while (end < all.size() && all[end].host == host) {
+        while (end < all.size() && all[end].host == host &&
+               all[end].by_second == by_second) {
             ++end;
         }
         send_one(shared, table, what, all.subspan(begin, end - begin), now,
@@ -56,7 +60,7 @@
     return n;
 }
 
-// Counting sort by host, then by upstream inside each batch, which
+// Counting sort by host, then by role of the host and by upstream, which
 // attempt_table::find relies on.
 void batch_sender::sort_by_host(query_shared& shared)
 {
@@ -78,7 +82,8 @@
     for (std::size_t h = 0; h + 1 < offsets.size(); ++h) {
         std::sort(sorted.begin() + begin, sorted.begin() + offsets[h],
                   [](planned_target const& a, planned_target const& b) {
-                      return a.upstream < b.upstream;
+                      return std::tie(a.by_second, a.upstream) <
+                             std::tie(b.by_second, b.upstream);
                   });
         begin = offsets[h];
     }
--- a/src/core/query/describe_rounds.cpp
+++ b/src/core/query/describe_rounds.cpp
@@ -19,6 +19,11 @@
     if (!shared.routes->can_serve(u)) {
         return false;
     }
+    // A second owner does not ask the upstream for its status.
+    auto const& route = shared.routes->route(u);
+    if (route.by_second || route.silent) {
+        return false;
+    }
     auto const& known = shared.catalogue.upstream(u);
     return which == describe_rounds::scope::all || !known.described ||
            now - known.heard > stale_after;
--- a/src/core/query/query_engine.cpp
+++ b/src/core/query/query_engine.cpp
@@ -57,6 +57,12 @@
                  query_actions& out);
     void on_stream_failed(time_point now, host_id const& from, request_id id,
                           query_actions& out);
+    void on_owner_silent(time_point now, host_id const& owner,
+                         query_actions& out);
+    void on_owner_answering(host_id const& owner)
+    {
+        shared_.set_silent(owner, false);
+    }
     void on_described(time_point now, host_id const& from,
                       describe_answer&& answer, query_actions& out);
     void on_timer(time_point now, query_actions& out);
@@ -108,7 +114,8 @@
         return;
     }
     auto const same_config = old && &old->config() == view->config.get();
-    shared_.routes = std::make_shared<route_table const>(std::move(view));
+    shared_.routes =
+        std::make_shared<route_table const>(std::move(view), shared_.silent);
     if (!same_config) {
         shared_.catalogue.adopt(shared_.routes->config());
     }
@@ -259,6 +266,18 @@
     after_event(handle);
 }
 
+void query_engine::impl::on_owner_silent(time_point now, host_id const& owner,
+                                         query_actions& out)
+{
+    if (!shared_.set_silent(owner, true)) {
+        return;
+    }
+    for (auto const handle : shared_.open_runs()) {
+        find(handle)->on_owner_silent(shared_, now, out);
+        after_event(handle);
+    }
+}
+
 void query_engine::impl::on_described(time_point now, host_id const& from,
                                       describe_answer&& answer,
                                       query_actions& out)
@@ -412,6 +431,17 @@
     impl_->on_stream_failed(now, from, id, out);
 }
 
+void query_engine::on_owner_silent(time_point now, host_id const& owner,
+                                   query_actions& out)
+{
+    impl_->on_owner_silent(now, owner, out);
+}
+
+void query_engine::on_owner_answering(host_id const& owner)
+{
+    impl_->on_owner_answering(owner);
+}
+
 void query_engine::on_described(time_point now, host_id const& from,
                                 describe_answer answer, query_actions& out)
 {
--- a/src/core/query/query_engine.hpp
+++ b/src/core/query/query_engine.hpp
@@ -21,7 +21,8 @@
     duration default_hedge_after = from_ms(30); // until latencies are known
     double rerun_fraction = 1.0 / 3.0; // of the deadline that must remain
     double retry_budget = 0.1;         // retries per recent sub-request
-    std::uint32_t max_limit = 10'000;  // offset + limit of one query
+    double move_budget = 0.25;        // moves away from silent owners, likewise
+    std::uint32_t max_limit = 10'000; // offset + limit of one query
 };
 
 // Identifies the caller's request at the adapter that received it.
@@ -73,6 +74,7 @@
     std::uint64_t hedges = 0;
     std::uint64_t hedges_won = 0;
     std::uint64_t retries = 0;
+    std::uint64_t moves = 0; // away from silent owners
     std::uint64_t reruns = 0;
     std::uint64_t late_parts = 0;
     std::uint64_t wrong_version = 0;
@@ -108,6 +110,12 @@
     // The stream of a batch or describe request ended without a final answer.
     void on_stream_failed(time_point now, host_id const& from, request_id id,
                           errc reason, query_actions& out);
+    // The owner sends nothing although it has requests open. Open queries are
+    // also sent elsewhere and new ones avoid it, until it answers. Adapters
+    // must not report this host.
+    void on_owner_silent(time_point now, host_id const& owner,
+                         query_actions& out);
+    void on_owner_answering(host_id const& owner);
     void on_described(time_point now, host_id const& from,
                       describe_answer answer, query_actions& out);
     void on_timer(time_point now, query_actions& out);
--- a/src/core/query/query_run.cpp
+++ b/src/core/query/query_run.cpp
@@ -174,6 +174,13 @@
     settle(shared, now, out);
 }
 
+void query_run::on_owner_silent(query_shared& shared, time_point now,
+                                query_actions& out)
+{
+    run_.on_owner_silent(shared, now);
+    settle(shared, now, out);
+}
+
 void query_run::on_timer(query_shared& shared, time_point now,
                          query_actions& out)
 {
--- a/src/core/query/query_run.hpp
+++ b/src/core/query/query_run.hpp
@@ -30,6 +30,8 @@
     void on_stream_failed(query_shared& shared, time_point now,
                           std::uint32_t batch, host_id const& from,
                           query_actions& out);
+    void on_owner_silent(query_shared& shared, time_point now,
+                         query_actions& out);
     void on_timer(query_shared& shared, time_point now, query_actions& out);
 
     // Cancels everything without an answer, because the caller is gone.
--- a/src/core/query/query_shared.cpp
+++ b/src/core/query/query_shared.cpp
@@ -29,6 +29,9 @@
       retries(std::max(initial_retries,
                        engine_settings.retry_budget * budget_window),
               engine_settings.retry_budget > 0 ? initial_retries : 0),
+      moves(
+          std::max(initial_moves, engine_settings.move_budget * budget_window),
+          engine_settings.move_budget > 0 ? initial_moves : 0),
       prints(max_known_prints), lanes_(lanes),
       next_id_(first_id(seed, lane, lanes))
 {
@@ -54,4 +57,28 @@
     return loads_.emplace(group.name, fresh).first->second;
 }
 
+bool query_shared::set_silent(host_id const& owner, bool is_silent)
+{
+    auto const changed =
+        is_silent ? silent.insert(owner).second : silent.erase(owner) > 0;
+    if (changed && routes) {
+        routes = std::make_shared<route_table const>(routes->view(), silent);
+    }
+    return changed;
+}
+
+std::vector<slot_handle> query_shared::open_runs() const
+{
+    std::vector<slot_handle> out;
+    out.reserve(requests.size());
+    for (auto const& [id, batch] : requests) {
+        out.push_back(batch.run);
+    }
+    std::sort(out.begin(), out.end(), [](slot_handle a, slot_handle b) {
+        return a.packed() < b.packed();
+    });
+    out.erase(std::unique(out.begin(), out.end()), out.end());
+    return out;
+}
+
 } // namespace snipemill
--- a/src/core/query/query_shared.hpp
+++ b/src/core/query/query_shared.hpp
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -27,6 +28,9 @@
 // of one owner does not cut the first queries of a small host.
 inline constexpr double initial_retries = 10;
 
+// Moves that a host may make before it has sent anything, likewise.
+inline constexpr double initial_moves = 1'000;
+
 // Fingerprints that are known to be harmless, in groups with the first step.
 inline constexpr std::size_t max_known_prints = 8192;
 
@@ -52,6 +56,7 @@
     topology_index position = 0; // in the current view
     std::uint32_t service = 0;   // position in the group
     upstream_id upstream;
+    bool by_second = false; // the host is the second owner
 };
 
 // State that the queries of one engine share.
@@ -62,15 +67,21 @@
 
     request_id next_request();
     group_load& load(group_object const& group);
+    // Returns whether the owner's state changed; routes follow.
+    bool set_silent(host_id const& owner, bool is_silent);
+    // Runs with a batch open, in the order of their handles.
+    std::vector<slot_handle> open_runs() const;
 
     query_engine_settings settings;
     query_counters counters;
     rng random;
     std::shared_ptr<route_table const> routes; // null before the first view
+    std::set<host_id> silent;                  // owners that send nothing
     index_catalogue catalogue;
     snapshot_cache snapshots;
     replica_choice replicas;
     token_bucket retries;
+    token_bucket moves; // of sub-requests away from silent owners
     known_prints prints;
     std::unordered_map<request_id, batch_reference> requests;
 
--- a/src/core/query/replica_choice.cpp
+++ b/src/core/query/replica_choice.cpp
@@ -12,6 +12,11 @@
 // Above every possible holder that takes work: each request to such an
 // upstream costs a retry, and its share can exceed the retry budget.
 constexpr std::uint32_t leaving_penalty = 96;
+// Above every condition of a remote upstream: a second owner runs one request
+// at a time, from a cold start.
+constexpr std::uint32_t second_owner_penalty = 16;
+// Above every possible holder with an owner that answers.
+constexpr std::uint32_t silent_penalty = 128;
 constexpr std::uint32_t lacking_penalty = 256; // above every possible holder
 constexpr std::uint32_t never = ~std::uint32_t{0};
 
@@ -40,6 +45,12 @@
            condition == upstream_condition::unknown;
 }
 
+std::uint32_t owner_penalty(upstream_route const& route)
+{
+    return (route.by_second ? second_owner_penalty : 0) +
+           (route.silent ? silent_penalty : 0);
+}
+
 std::uint32_t penalty(time_point now, route_table const& routes,
                       index_catalogue const& catalogue,
                       replica_choice::request const& wanted, topology_index u)
@@ -51,13 +62,18 @@
     if (!routes.can_serve(u) || (wanted.extra && lacks)) {
         return never;
     }
-    if (wanted.hedge && !takes_hedges(condition)) {
+    auto const& route = routes.route(u);
+    if (wanted.hedge && (!takes_hedges(condition) || route.by_second)) {
+        return never;
+    }
+    if (wanted.extra && route.silent) {
         return never;
     }
     auto const& upstream = routes.config().upstreams()[u];
     auto const local = routes.data_centre() == upstream.data_centre;
     return condition_penalty(condition) + (local ? 0 : remote_penalty) +
-           (holds ? 0 : unheard_penalty) + (lacks ? lacking_penalty : 0);
+           (holds ? 0 : unheard_penalty) + (lacks ? lacking_penalty : 0) +
+           owner_penalty(route);
 }
 
 } // namespace
--- a/src/core/query/replica_choice.hpp
+++ b/src/core/query/replica_choice.hpp
@@ -12,7 +12,8 @@
 
 // Chooses a replica for a sub-request. Replicas in this host's data centre go
 // first, then those in a better condition; among equals, two are drawn at
-// random and the one with the lower recent latency is taken.
+// random and the one with the lower recent latency is taken. Replicas whose
+// first owner is silent come after all others that hold the version.
 class replica_choice
 {
 public:
--- a/src/core/query/route_table.cpp
+++ b/src/core/query/route_table.cpp
@@ -5,7 +5,8 @@
 
 namespace snipemill {
 
-route_table::route_table(std::shared_ptr<routing_view const> view)
+route_table::route_table(std::shared_ptr<routing_view const> view,
+                         std::set<host_id> const& silent)
     : view_(std::move(view))
 {
     assert(view_ && view_->config && view_->owners);
@@ -17,9 +18,34 @@
                            .second = owners.second.value_or(no_host),
                            .usable = view_->config->usable(upstreams[u])});
     }
+    if (!silent.empty()) {
+        avoid(silent);
+    }
     find_data_centre();
 }
 
+void route_table::avoid(std::set<host_id> const& silent)
+{
+    std::vector<bool> lost(hosts());
+    for (host_index h = 0; h < hosts(); ++h) {
+        lost[h] = silent.contains(host(h));
+    }
+    for (auto& it : routes_) {
+        if (it.second != no_host && lost[it.second]) {
+            it.second = no_host;
+        }
+        if (it.first == no_host || !lost[it.first]) {
+            continue;
+        }
+        it.by_second = it.second != no_host;
+        it.silent = !it.by_second;
+        if (it.by_second) {
+            it.first = it.second;
+            it.second = no_host;
+        }
+    }
+}
+
 void route_table::find_data_centre()
 {
     auto const& hosts = view_->owners->hosts();
--- a/src/core/query/route_table.hpp
+++ b/src/core/query/route_table.hpp
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace snipemill {
@@ -17,15 +18,20 @@
     host_index first = no_host;
     host_index second = no_host;
     bool usable = false; // new work may go there
+    // first is the second owner, in place of a silent first one.
+    bool by_second = false;
+    bool silent = false; // no owner answers
 };
 
 // A routing view with owners as numbers, so that batching needs no string
-// comparison per target.
+// comparison per target. Silent owners are replaced by second owners.
 class route_table
 {
 public:
-    explicit route_table(std::shared_ptr<routing_view const> view);
+    explicit route_table(std::shared_ptr<routing_view const> view,
+                         std::set<host_id> const& silent = {});
 
+    std::shared_ptr<routing_view const> const& view() const { return view_; }
     topology const& config() const { return *view_->config; }
     std::uint64_t sequence() const { return view_->sequence; }
     upstream_route const& route(topology_index u) const { return routes_[u]; }
@@ -53,6 +59,7 @@
     std::optional<topology_index> find_group(std::string_view name) const;
 
 private:
+    void avoid(std::set<host_id> const& silent);
     void find_data_centre();
 
     std::shared_ptr<routing_view const> view_;
--- a/src/core/query/snapshot_run.cpp
+++ b/src/core/query/snapshot_run.cpp
@@ -156,6 +156,7 @@
     sent_ += n;
     if (kind == attempt_kind::first) {
         shared.retries.earn(n * shared.settings.retry_budget);
+        shared.moves.earn(n * shared.settings.move_budget);
         in_.load->hedges.earn(n * in_.hedge_budget);
     }
 }
--- a/src/core/query/snapshot_run.hpp
+++ b/src/core/query/snapshot_run.hpp
@@ -46,6 +46,10 @@
     void on_stream_failed(query_shared& shared, time_point now,
                           std::uint32_t batch, host_id const& from);
 
+    // Sends what only waits for silent owners to other ones as well. The first
+    // answer counts: an owner that was only paused may still be in time.
+    void on_owner_silent(query_shared& shared, time_point now);
+
     // Cancels what is still open and forgets the request ids, so that
     // whatever still arrives for them counts as late.
     void end(query_shared& shared, query_actions& out);
@@ -87,6 +91,10 @@
     bool plan_retry(query_shared& shared, time_point now, std::uint32_t s);
     bool plan_retry_target(query_shared& shared, time_point now,
                            std::uint32_t s);
+    sub_attempt const* waiting_for_silent(query_shared const& shared,
+                                          std::uint32_t s) const;
+    bool plan_move(query_shared& shared, time_point now,
+                   sub_attempt const& waiting);
     void send_cancels(query_actions& out);
 
     input in_;
--- a/src/core/query/target_planner.cpp
+++ b/src/core/query/target_planner.cpp
@@ -52,8 +52,9 @@
     if (!position) {
         return false;
     }
-    auto const host = shared.routes->route(*position).first;
-    add_to_plan(shared, wanted.service, *position, host);
+    auto const& route = shared.routes->route(*position);
+    add_to_plan(shared, wanted.service, *position, route.first);
+    shared.plan.back().by_second = route.by_second;
     return true;
 }
 
@@ -68,7 +69,7 @@
     auto const& route = shared.routes->route(*position);
     auto const first_lost = shared.routes->host(route.first) == lost;
     auto const host = first_lost ? route.second : route.first;
-    if (host == no_host) {
+    if (host == no_host || route.silent) {
         return false;
     }
     add_to_plan(shared, failed.service, *position, host);
--- a/tests/adapters/peer/peer_link_test.cpp
+++ b/tests/adapters/peer/peer_link_test.cpp
@@ -356,6 +356,46 @@
     CHECK(run_until(io, [&] { return peer.peers.at(0)->closed; }));
 }
 
+// Guards against an owner that hangs without being noticed before its
+// connection is given up, and against one that is avoided for ever.
+TEST(peer_link, silence_is_reported_and_ends_with_the_next_byte)
+{
+    raw_server peer(io);
+    port = peer.port();
+    client.emplace(io, peer_link_options{});
+    std::vector<bool> reports;
+    client->watch_silence([&](host_id const& id, bool silent) {
+        CHECK(id.value == "h1");
+        reports.push_back(silent);
+    });
+    auto const it = open("a");
+    CHECK(run_until(io, [&] { return !reports.empty(); }));
+    CHECK(reports.front());
+    CHECK(!it->done());
+    peer.peers.at(0)->send(settings_frame);
+    CHECK(run_until(io, [&] { return reports.size() == 2; }));
+    CHECK_FALSE(reports.back());
+    CHECK(!it->done());
+}
+
+// Guards against a peer that stays marked as silent after it has returned,
+// because nothing is sent to it any more.
+TEST(peer_link, unreachable_peer_is_tried_until_it_answers)
+{
+    start();
+    server.reset();
+    std::vector<bool> reports;
+    client->watch_silence(
+        [&](host_id const&, bool silent) { reports.push_back(silent); });
+    CHECK(wait_done(open("a")));
+    CHECK(reports == std::vector<bool>{true});
+    server.emplace(io, peer_link_options{.port = port},
+                   [](peer_request const&) {});
+    CHECK(run_until(io, [&] { return reports.size() == 2; }));
+    CHECK_FALSE(reports.back());
+    LONGS_EQUAL(0, server->open_streams());
+}
+
 // Guards against a client that sends garbage and ends the server.
 TEST(peer_link, server_survives_bytes_that_are_not_http2)
 {
