Test that a frozen data centre fails no query

This process test freezes both hosts of a data centre while queries run with a minimum coverage of 1 and without hedges.

Its verdict depends on a deadline of 5 s, against 0.3 s until an owner counts as silent.

--- a/tests/process/owner_loss_test.cpp
+++ b/tests/process/owner_loss_test.cpp
@@ -4,7 +4,9 @@
 #include <CppUTest/TestHarness.h>
 
 #include <chrono>
+#include <csignal>
 #include <string>
+#include <vector>
 
 using namespace testbed;
 
@@ -55,3 +57,46 @@
         CHECK(all->at("max_in_flight").to_number<std::uint32_t>() <= slots + 1);
     }
 }
+
+// Guards against queries that fail because a data centre hangs and membership
+// has not noticed yet, while the others can serve all of the index.
+TEST(owner_loss, frozen_data_centre_fails_no_query)
+{
+    // The deadline leaves room for a busy machine; without moves, every query
+    // that has a sub-request at a frozen host waits for it and then fails.
+    fleet f({.group_settings = "deadline_ms: 5000, min_coverage: 1, "
+                               "hedge_budget: 0, ",
+             .services = 12,
+             .upstream_arguments = {"--latency-ms", "2", "--partitions", "24",
+                                    "--records-per-partition", "5"}});
+    std::vector<load_target> others;
+    std::vector<child_process*> frozen;
+    for (auto const& it : f.hosts()) {
+        if (it.data_centre == "gampaha") {
+            frozen.push_back(it.process.get());
+        }
+        else {
+            others.push_back({.port = it.caller_port});
+        }
+    }
+    load_options load{.targets = others,
+                      .body = R"({"group":"stores-desk","query":{}})",
+                      .rate = 20,
+                      .count = 40};
+    load.before = [&](std::uint32_t i, std::chrono::milliseconds) {
+        if (i == 10) {
+            for (auto* it : frozen) {
+                it->signal(SIGSTOP);
+            }
+        }
+    };
+    auto const samples = run_load(load);
+    for (auto* it : frozen) {
+        it->signal(SIGCONT);
+    }
+    for (auto const& it : samples) {
+        STRCMP_EQUAL("", it.code.c_str());
+        LONGS_EQUAL(200, it.status);
+        CHECK(it.coverage == 1.0);
+    }
+}
