Accept IPv6 addresses of upstreams in ticket files

The reader of ticket files took the text before the last colon as an IP address, so it refused "[::1]:7200" and accepted "::1:7200"; check_ticket judged both the other way, and no IPv6 address passed both. The rule is now one function in the core, is_upstream_address, that both use: ip:port or [ip]:port.

--- a/src/adapters/codec/ticket_file.cpp
+++ b/src/adapters/codec/ticket_file.cpp
@@ -1,8 +1,7 @@
 #include "adapters/codec/config_fields.hpp"
 #include "adapters/codec/config_json.hpp"
 #include "adapters/codec/json_text.hpp"
-
-#include <boost/asio/ip/address.hpp>
+#include "core/config/upstream_address.hpp"
 
 #include <yaml-cpp/anchor.h>
 #include <yaml-cpp/eventhandler.h>
@@ -356,21 +355,6 @@
            std::all_of(text.begin(), text.end(), name_char);
 }
 
-bool valid_address(std::string_view text)
-{
-    auto const colon = text.rfind(':');
-    if (colon == std::string_view::npos) {
-        return false;
-    }
-    boost::system::error_code ec;
-    boost::asio::ip::make_address(std::string(text.substr(0, colon)), ec);
-    std::uint16_t port = 0;
-    auto const* end = text.data() + text.size();
-    auto const [ptr, fault] =
-        std::from_chars(text.data() + colon + 1, end, port);
-    return !ec && fault == std::errc() && ptr == end && port != 0;
-}
-
 bool valid_key(std::string_view text)
 {
     auto const slash = text.find('/');
@@ -406,8 +390,9 @@
     if (rule == text_rule::name && !valid_name(text)) {
         return "must be 1 to 100 letters, digits, '.', '_' or '-'";
     }
-    if (rule == text_rule::address && !valid_address(text)) {
-        return "must be an IP address and a port, for example 127.0.0.1:7200";
+    if (rule == text_rule::address && !is_upstream_address(text)) {
+        return "must be an IP address and a port, for example 127.0.0.1:7200 "
+               "or [::1]:7200";
     }
     if (rule == text_rule::key && !valid_key(text)) {
         return "must be a kind and a name, for example service/stores-desk-01";
--- a/src/core/config/ticket_check.cpp
+++ b/src/core/config/ticket_check.cpp
@@ -1,8 +1,6 @@
 #include "core/config/config_store.hpp"
+#include "core/config/upstream_address.hpp"
 
-#include <arpa/inet.h>
-
-#include <charconv>
 #include <map>
 #include <set>
 #include <string>
@@ -26,34 +24,6 @@
     return v >= 0.0 && v <= 1.0; // false for a NaN
 }
 
-bool is_port(std::string_view text)
-{
-    std::uint32_t port = 0;
-    auto const end = text.data() + text.size();
-    auto const [stop, ec] = std::from_chars(text.data(), end, port);
-    return ec == std::errc() && stop == end && port > 0 && port <= 65'535;
-}
-
-bool is_ip(std::string const& text, int family)
-{
-    in6_addr buf{};
-    return inet_pton(family, text.c_str(), &buf) == 1;
-}
-
-// "1.2.3.4:80" or "[::1]:80".
-bool is_address(std::string_view text)
-{
-    auto const colon = text.rfind(':');
-    if (colon == std::string_view::npos || !is_port(text.substr(colon + 1))) {
-        return false;
-    }
-    auto const host = text.substr(0, colon);
-    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-        return is_ip(std::string(host.substr(1, host.size() - 2)), AF_INET6);
-    }
-    return is_ip(std::string(host), AF_INET);
-}
-
 // Checks the objects of one ticket against the state that it would give.
 class object_checker
 {
@@ -123,8 +93,8 @@
         require_name(o.name);
         require_object("service/" + o.service);
         require_object("data_centre/" + o.data_centre);
-        require(is_address(o.address),
-                "address \"" + o.address + "\" is not ip:port");
+        require(is_upstream_address(o.address),
+                "address \"" + o.address + "\" is not ip:port or [ip]:port");
     }
 
     void check_object(removed_object const& o)
--- a/tests/adapters/codec/config_json_test.cpp
+++ b/tests/adapters/codec/config_json_test.cpp
@@ -1,4 +1,5 @@
 #include "adapters/codec/generators.hpp"
+#include "core/config/upstream_address.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -98,6 +99,29 @@
     CHECK(std::get<removed_object>(t.objects[1]).key == "service/old");
 }
 
+// Guards against a ticket file that is refused, or accepted, although the
+// check of the ticket judges its addresses otherwise.
+TEST(config_json, addresses_are_those_that_the_ticket_check_accepts)
+{
+    auto const file_with = [](std::string const& address) {
+        return "number: 1\nauthor: a\nreason: r\nobjects:\n"
+               "  - {kind: upstream, id: 1, name: u, service: s, "
+               "data_centre: d, address: \"" +
+               address + "\"}\n";
+    };
+    for (std::string const address :
+         {"127.0.0.1:7200", "[::1]:7200", "[2001:db8::7]:7200", "::1:7200",
+          "[::1]", "[127.0.0.1]:7200", "[::1]:0", "localhost:7200",
+          "127.0.0.1:07200x"}) {
+        auto const parsed = parse_ticket_file(file_with(address));
+        CHECK_EQUAL(is_upstream_address(address),
+                    std::holds_alternative<ticket>(parsed));
+    }
+    auto const parsed = parse_ticket_file(file_with("[::1]:7200"));
+    auto const& object = std::get<ticket>(parsed).objects.at(0);
+    CHECK(std::get<upstream_object>(object).address == "[::1]:7200");
+}
+
 // Guards against an operator having to fix one fault at a time.
 TEST(config_json, every_fault_is_reported_with_its_line)
 {
--- a/tests/core/config/config_store_test.cpp
+++ b/tests/core/config/config_store_test.cpp
@@ -138,6 +138,17 @@
     }
 }
 
+// Guards against data centres that have only IPv6.
+TEST(check_ticket, upstreams_may_have_ipv6_addresses)
+{
+    for (std::string const address :
+         {"[::1]:80", "[2001:db8::7]:7200", "[::ffff:10.0.0.1]:1"}) {
+        change = first_ticket();
+        std::get<upstream_object>(change.objects[3]).address = address;
+        CHECK(check_ticket(state, change).empty());
+    }
+}
+
 // Guards against settings with which every query fails.
 TEST(check_ticket, values_out_of_range_are_faults)
 {
@@ -156,7 +167,8 @@
     }
     for (std::string const address :
          {"", "10.0.0.1", "10.0.0.1:", "10.0.0.1:0", "10.0.0.1:65536",
-          "10.0.0:80", "10.0.0.1:8x", "::1:80", "[::1:80"}) {
+          "10.0.0:80", "10.0.0.1:8x", "::1:80", "[::1:80", "[]:80",
+          "[10.0.0.1]:80", "[::1]", "[::1]:0"}) {
         change = first_ticket();
         std::get<upstream_object>(change.objects[3]).address = address;
         CHECK(has_fault("upstream/u1", "is not ip:port"));
