Read the platform's list of hosts again

The list was read once at the start of a host; a timer and an interval for later reads were declared and not used. seed_schedule decides now when it is read again: every 10 s with a jitter of a quarter, and only by the readers of a data centre, at most two, so that the load on the platform does not grow with the fleet. When the platform does not answer, the seeds stay as they are.

--- a/src/app/control_plane.cpp
+++ b/src/app/control_plane.cpp
@@ -10,7 +10,6 @@
 namespace {
 
 constexpr auto tick = std::chrono::milliseconds(50);
-constexpr auto seed_interval = std::chrono::seconds(10);
 // One datagram stays well below 1,400 bytes with this many records.
 constexpr std::size_t crashes_per_probe = 4;
 
@@ -22,7 +21,8 @@
 control_plane::control_plane(host_settings const& settings, event_log& events,
                              lane_group& lanes, std::uint64_t seed)
     : settings_(&settings), events_(&events), lanes_(&lanes), seed_(seed),
-      work_(boost::asio::make_work_guard(io_)), timer_(io_), seed_timer_(io_),
+      work_(boost::asio::make_work_guard(io_)), timer_(io_),
+      seed_schedule_({}, seed + 2),
       platform_(io_, settings.platform,
                 [this](bool reachable) { on_platform_state(reachable); }),
       peers_(io_, {.ip = settings.ip}), quarantine_(settings.crashes),
@@ -65,6 +65,7 @@
         io_, settings_->ip, peer_port, core_now,
         [this](probe_packet packet) { on_probe(std::move(packet)); });
     members_->set_seeds(seeds(false));
+    seed_schedule_.start(core_now());
     refresh_seeds();
     update_view();
     with_spread([&](time_point now, spread_actions& out) {
@@ -122,6 +123,9 @@
             spread_->on_timer(t, out);
         });
     }
+    if (seed_schedule_.due(now, spread_->reader())) {
+        refresh_seeds();
+    }
     quarantine_.expire(now);
     crashes_changed();
     if (now >= next_view_) {
@@ -183,6 +187,7 @@
     });
 }
 
+// When the platform does not answer, the seeds stay as they are.
 void control_plane::refresh_seeds()
 {
     platform_.hosts([this](platform_result<std::vector<platform_host>> r) {
--- a/src/app/control_plane.hpp
+++ b/src/app/control_plane.hpp
@@ -5,6 +5,7 @@
 #include "app/event_log.hpp"
 #include "app/lane.hpp"
 #include "core/core.hpp"
+#include "core/membership/seed_schedule.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -144,7 +145,7 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
         work_;
     boost::asio::steady_timer timer_;
-    boost::asio::steady_timer seed_timer_;
+    seed_schedule seed_schedule_;
 
     std::unique_ptr<member_list> members_;
     std::unique_ptr<config_spread> spread_;
--- a/tests/process/config_test.cpp
+++ b/tests/process/config_test.cpp
@@ -278,3 +278,16 @@
     LONGS_EQUAL(2, f.run({"ticket", "wait", "two", "--host", host}).code);
     LONGS_EQUAL(2, f.run({"ticket", "status", "2"}).code);
 }
+
+// Guards against a list of hosts that is read only at the start.
+TEST(config_process, host_list_is_read_again)
+{
+    fleet f(small_fleet());
+    auto const reads = [&] {
+        auto const all = f.platform_counters();
+        return all ? all->at("hosts").to_number<std::uint64_t>() : 0;
+    };
+    auto const before = reads();
+    CHECK(before >= f.hosts().size());
+    CHECK(wait_until([&] { return reads() > before; }));
+}
