Tell in ticket status for how long a host is away

ticket status said that a host is unreachable, but not since when. The printing of the spread has moved to its own file.

The time is what the asked host knows: a host that starts later counts from then.

--- a/src/app/control_plane.hpp
+++ b/src/app/control_plane.hpp
@@ -13,6 +13,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -48,6 +49,7 @@
     std::uint64_t config_number = 0;
     duration config_age{}; // since the platform last confirmed it
     std::vector<member_info> members;
+    std::map<host_id, duration> unreachable; // members, for how long
     std::vector<crash_record> crashes;
     member_counters membership;
     platform_counters platform;
@@ -119,6 +121,7 @@
     void on_pull_event(host_id const& from, stream_event event);
     void on_platform_state(bool reachable);
     void refresh_seeds();
+    std::map<host_id, duration> unreachable() const;
 
     std::string serve_config(std::string const& message);
     void serve_handover(std::string const& message);
--- a/src/app/control_services.cpp
+++ b/src/app/control_services.cpp
@@ -58,6 +58,16 @@
     return ready_ && !leaving_ && !taken_out && spread_->store().number() > 0;
 }
 
+std::map<host_id, duration> control_plane::unreachable() const
+{
+    auto const now = core_now();
+    std::map<host_id, duration> out;
+    for (auto const& [id, since] : members_->unreachable()) {
+        out.emplace(id, now - since);
+    }
+    return out;
+}
+
 control_status control_plane::status() const
 {
     return {.ready = ready(),
@@ -67,6 +77,7 @@
             .config_number = spread_->store().number(),
             .config_age = core_now() - spread_->confirmed_at(),
             .members = members_->members(),
+            .unreachable = unreachable(),
             .crashes = quarantine_.records(),
             .membership = members_->counters(),
             .platform = platform_.counters(),
--- a/src/app/host_status.cpp
+++ b/src/app/host_status.cpp
@@ -15,15 +15,22 @@
     return {s.data(), s.size()};
 }
 
-json::object member_json(member_info const& m)
+// A member that is suspect or dead has been unreachable for some time.
+json::object member_json(member_info const& m,
+                         std::map<host_id, duration> const& unreachable)
 {
+    json::value unreachable_ms; // null
+    if (auto const it = unreachable.find(m.id); it != unreachable.end()) {
+        unreachable_ms = static_cast<std::int64_t>(to_ms(it->second));
+    }
     return {{"name", m.id.value},
             {"data_centre", m.data_centre},
             {"ip", m.ip},
             {"peer_port", m.peer_port},
             {"operator_port", m.operator_port},
             {"incarnation", m.incarnation},
-            {"state", text(name_of(member_state_names, m.state))}};
+            {"state", text(name_of(member_state_names, m.state))},
+            {"unreachable_ms", std::move(unreachable_ms)}};
 }
 
 json::object upstream_json(routing_view const& view, upstream_gauge const& g)
@@ -104,7 +111,7 @@
 {
     json::array members;
     for (auto const& it : control.members) {
-        members.push_back(member_json(it));
+        members.push_back(member_json(it, control.unreachable));
     }
     json::array upstreams;
     for (auto const& it : traffic.gauges) {
--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -21,6 +21,14 @@
                                             : std::string();
 }
 
+std::optional<std::int64_t> time_of(json::object const& o, char const* key)
+{
+    auto const* it = o.if_contains(key);
+    return it != nullptr && it->is_number()
+               ? std::optional(it->to_number<std::int64_t>())
+               : std::nullopt;
+}
+
 fleet_host member_host(json::object const& m)
 {
     return {.name = text_of(m, "name"),
@@ -28,7 +36,8 @@
             .operator_endpoint =
                 {.ip = text_of(m, "ip"),
                  .port = m.at("operator_port").to_number<std::uint16_t>()},
-            .member_state = text_of(m, "state")};
+            .member_state = text_of(m, "state"),
+            .unreachable_ms = time_of(m, "unreachable_ms")};
 }
 
 } // namespace
--- a/src/cli/fleet.hpp
+++ b/src/cli/fleet.hpp
@@ -19,6 +19,8 @@
     std::string data_centre;
     endpoint operator_endpoint;
     std::string member_state; // as the asked host knows it
+    // Since the asked host knows that it is suspect or dead.
+    std::optional<std::int64_t> unreachable_ms = {};
     std::optional<boost::json::object> status;
 };
 
--- a/src/cli/ticket.cpp
+++ b/src/cli/ticket.cpp
@@ -2,8 +2,8 @@
 #include "cli/commands.hpp"
 #include "cli/fleet.hpp"
 #include "cli/platform_access.hpp"
+#include "cli/ticket_spread.hpp"
 
-#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -12,7 +12,6 @@
 #include <fstream>
 #include <iomanip>
 #include <iostream>
-#include <map>
 #include <random>
 #include <sstream>
 #include <string>
@@ -177,81 +176,16 @@
     return exit_ok;
 }
 
-struct spread_count
-{
-    std::size_t in_force = 0;
-    std::size_t behind = 0;
-    std::size_t unreachable = 0;
-};
-
-std::uint64_t number_of(fleet_host const& host)
-{
-    return host.status->at("config")
-        .as_object()
-        .at("number")
-        .to_number<std::uint64_t>();
-}
-
-std::map<std::string, spread_count>
-count_spread(std::vector<fleet_host> const& fleet, std::uint64_t number)
-{
-    std::map<std::string, spread_count> out;
-    for (auto const& it : fleet) {
-        auto& count = out[it.data_centre];
-        if (!it.status) {
-            ++count.unreachable;
-        }
-        else if (number_of(it) >= number) {
-            ++count.in_force;
-        }
-        else {
-            ++count.behind;
-        }
-    }
-    return out;
-}
-
-void print_spread(std::vector<fleet_host> const& fleet, std::uint64_t number)
-{
-    for (auto const& [name, count] : count_spread(fleet, number)) {
-        std::cout << "data centre " << std::left << std::setw(20) << name
-                  << count.in_force << " in force, " << count.behind
-                  << " behind, " << count.unreachable << " unreachable\n";
-    }
-    for (auto const& it : fleet) {
-        if (!it.status) {
-            std::cout << "  " << it.name << " is unreachable ("
-                      << it.member_state << ")\n";
-        }
-        else if (number_of(it) < number) {
-            std::cout << "  " << it.name << " has ticket " << number_of(it)
-                      << ", confirmed "
-                      << it.status->at("config").as_object().at("age_ms")
-                      << " ms ago\n";
-        }
-    }
-}
-
-leaf::result<int> status(endpoint const& host, std::uint64_t number)
+leaf::result<int> status(endpoint const& host, std::uint64_t number,
+                         output_format format)
 {
     BOOST_LEAF_AUTO(fleet, fetch_fleet(host));
-    print_spread(fleet, number);
+    print_spread(fleet, number, format);
     return exit_ok;
 }
 
-bool in_force_everywhere(std::vector<fleet_host> const& fleet,
-                         std::uint64_t number)
-{
-    for (auto const& [name, count] : count_spread(fleet, number)) {
-        if (count.behind > 0 || count.unreachable > 0) {
-            return false;
-        }
-    }
-    return true;
-}
-
 leaf::result<int> wait(endpoint const& host, std::uint64_t number,
-                       std::chrono::milliseconds limit)
+                       std::chrono::milliseconds limit, output_format format)
 {
     auto const start = std::chrono::steady_clock::now();
     for (;;) {
@@ -263,7 +197,7 @@
             return exit_ok;
         }
         if (took > limit) {
-            print_spread(fleet, number);
+            print_spread(fleet, number, format);
             return exit_not_in_force;
         }
         std::this_thread::sleep_for(wait_interval);
@@ -306,16 +240,16 @@
 
 leaf::result<int> run_on_host(cxxopts::ParseResult const& args,
                               std::string const& action,
-                              std::string const& argument)
+                              std::string const& argument, output_format format)
 {
     BOOST_LEAF_AUTO(number, parse_number(argument));
     BOOST_LEAF_AUTO(host, endpoint_of(args, "host"));
     if (action == "status") {
-        return status(host, number);
+        return status(host, number, format);
     }
     std::chrono::milliseconds const limit(
         args["timeout-ms"].as<std::uint32_t>());
-    return wait(host, number, limit);
+    return wait(host, number, limit, format);
 }
 
 } // namespace
@@ -348,7 +282,7 @@
         return run_on_platform(args, action, argument, format);
     }
     if (action == "status" || action == "wait") {
-        return run_on_host(args, action, argument);
+        return run_on_host(args, action, argument, format);
     }
     return leaf::new_error(usage_error{
         "the action must be submit, show, list, status, diff or wait"});
--- a/src/core/membership/member_list.cpp
+++ b/src/core/membership/member_list.cpp
@@ -473,6 +473,11 @@
     return impl_->members_.all();
 }
 
+std::map<host_id, time_point> member_list::unreachable() const
+{
+    return impl_->members_.unreachable();
+}
+
 member_counters const& member_list::counters() const
 {
     return impl_->counters_;
--- a/src/core/membership/member_list.hpp
+++ b/src/core/membership/member_list.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -141,6 +142,8 @@
     member_info const& self() const;
     // Every known member but this host, ascending by id.
     std::vector<member_info> members() const;
+    // Since when members are suspect or dead, as far as this host knows.
+    std::map<host_id, time_point> unreachable() const;
     member_counters const& counters() const;
 
 private:
--- a/src/core/membership/member_table.cpp
+++ b/src/core/membership/member_table.cpp
@@ -76,8 +76,32 @@
     return changed ? outcome::changed : outcome::refreshed;
 }
 
+void member_table::note_reachable(time_point now, member_record& r)
+{
+    auto const unreachable = r.info.state == member_state::suspect ||
+                             r.info.state == member_state::dead;
+    if (!unreachable) {
+        r.unreachable_since.reset();
+    }
+    else if (!r.unreachable_since) {
+        r.unreachable_since = now;
+    }
+}
+
+std::map<host_id, time_point> member_table::unreachable() const
+{
+    std::map<host_id, time_point> out;
+    for (auto const& [id, r] : records_) {
+        if (r.unreachable_since) {
+            out.emplace(id, *r.unreachable_since);
+        }
+    }
+    return out;
+}
+
 void member_table::set_timer(time_point now, member_record& r)
 {
+    note_reachable(now, r);
     if (r.info.state != member_state::suspect) {
         r.dead_at.reset();
         r.own_suspicion = false;
--- a/src/core/membership/member_table.hpp
+++ b/src/core/membership/member_table.hpp
@@ -21,6 +21,8 @@
     // suspects and for leaving members that do not answer.
     std::optional<time_point> dead_at;
     bool own_suspicion = false; // found by this host's own probe
+    // When this host learnt that the member is suspect or dead.
+    std::optional<time_point> unreachable_since = {};
 };
 
 // Position of a state in the order in which states of the same incarnation
@@ -62,6 +64,7 @@
     member_record const* find(host_id const& id) const;
     std::optional<time_point> next_expiry() const;
     std::vector<member_info> all() const;
+    std::map<host_id, time_point> unreachable() const;
     // Ids of members that take part, ascending.
     std::vector<host_id> active() const;
     std::vector<host_id> dead() const;
@@ -71,6 +74,7 @@
 
 private:
     void set_timer(time_point now, member_record& r);
+    static void note_reachable(time_point now, member_record& r);
 
     member_list_settings settings_;
     std::string data_centre_;
--- a/tests/core/membership/member_list_test.cpp
+++ b/tests/core/membership/member_list_test.cpp
@@ -75,6 +75,29 @@
     }
 }
 
+// Guards against an operator who is not told, or is told wrongly, for how long
+// a host has been away.
+TEST(member_list, time_without_a_member_counts_from_its_suspicion)
+{
+    fleet f(1, 1, 4);
+    CHECK(f.run_until_agreed(from_ms(30'000)));
+    auto const id = f.hosts()[3].info.id;
+    auto const& list = *f.hosts()[0].list;
+    CHECK(list.unreachable().empty());
+    auto const killed_at = f.now();
+    f.kill(3);
+    f.run_for(death_bound(f, f.settings.local_suspicion));
+    auto const since = list.unreachable().at(id);
+    // It was suspect before it was declared dead, and is so only once.
+    CHECK(since >= killed_at);
+    CHECK(f.hosts()[0].dead_at.at(id) - since > from_ms(500));
+    f.run_for(from_ms(10'000));
+    CHECK(list.unreachable().at(id) == since);
+    f.restart(3);
+    CHECK(f.run_until_agreed(from_ms(60'000)));
+    CHECK(list.unreachable().empty());
+}
+
 // Guards against the loss of a data centre flooding the others with probes.
 TEST(member_list, loss_of_a_data_centre_causes_no_more_probes)
 {
--- a/tests/process/config_test.cpp
+++ b/tests/process/config_test.cpp
@@ -1,6 +1,8 @@
 #include "testbed/fleet.hpp"
 #include "testbed/ticket_watch.hpp"
 
+#include <boost/json/parse.hpp>
+
 #include <CppUTest/TestHarness.h>
 
 #include <algorithm>
@@ -273,6 +275,25 @@
     auto const lacking = f.run({"ticket", "status", "2", "--host", host});
     LONGS_EQUAL(0, lacking.code);
     CHECK(contains(lacking.output, "1 in force, 0 behind, 1 unreachable"));
+    // Before membership has noticed, no time is known.
+    CHECK(wait_until([&] {
+        auto const it = f.run({"ticket", "status", "2", "--host", host});
+        return contains(it.output,
+                        f.hosts()[5].name + " is unreachable (dead for ");
+    }));
+    auto const printed =
+        f.run({"ticket", "status", "2", "--host", host, "--output", "json"});
+    auto const spread = boost::json::parse(printed.output).as_object();
+    LONGS_EQUAL(2, spread.at("ticket").to_number<int>());
+    for (auto const& it : spread.at("hosts").as_array()) {
+        auto const& h = it.as_object();
+        auto const killed =
+            h.at("name").as_string() == f.hosts()[5].name.c_str();
+        CHECK(h.at("place") == (killed ? "unreachable" : "in_force"));
+        // A dead host was suspect for the 3 s of a data centre or longer.
+        CHECK_EQUAL(killed, h.at("unreachable_ms").is_number() &&
+                                h.at("unreachable_ms").to_number<int>() > 0);
+    }
     LONGS_EQUAL(4, f.run({"ticket", "status", "2", "--host", gone}).code);
     LONGS_EQUAL(4, f.run({"ticket", "wait", "2", "--host", gone}).code);
     LONGS_EQUAL(2, f.run({"ticket", "wait", "two", "--host", host}).code);
