--- a/src/app/control_plane.hpp
+++ b/src/app/control_plane.hpp
@@ -5,6 +5,7 @@
 #include "app/event_log.hpp"
 #include "app/lane.hpp"
 #include "core/core.hpp"
+#include "core/membership/seed_schedule.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -12,6 +13,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -47,6 +49,7 @@
     std::uint64_t config_number = 0;
     duration config_age{}; // since the platform last confirmed it
     std::vector<member_info> members;
+    std::map<host_id, duration> unreachable; // members, for how long
     std::vector<crash_record> crashes;
     member_counters membership;
     platform_counters platform;
@@ -118,6 +121,7 @@
     void on_pull_event(host_id const& from, stream_event event);
     void on_platform_state(bool reachable);
     void refresh_seeds();
+    std::map<host_id, duration> unreachable() const;
 
     std::string serve_config(std::string const& message);
     void serve_handover(std::string const& message);
@@ -144,7 +148,7 @@
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type>
         work_;
     boost::asio::steady_timer timer_;
-    boost::asio::steady_timer seed_timer_;
+    seed_schedule seed_schedule_;
 
     std::unique_ptr<member_list> members_;
     std::unique_ptr<config_spread> spread_;
