Start no queued query that would be cut before its answer

Cause: the queue takes the earliest deadline first. Under overload each query got its slot just before its deadline and was cancelled, so an upstream that had become slow, such as one that is cold after a restart, finished no work and never warmed up. The latency of cut queries was not learned either. Change: a query that is taken from the queue with no more time left than the learned quantile gets timed_out instead of a slot. A query that finds the queue empty is started in any case. The time that a query ran until its deadline or until the root cancelled it is a latency sample if it is at least the quantile; roots cancel at the deadline, mostly before the owner's own timer.

--- a/src/core/owner/owner_engine.cpp
+++ b/src/core/owner/owner_engine.cpp
@@ -54,10 +54,10 @@
     impl_->dispatcher.on_cancel_targets(now, peer, targets, out);
 }
 
-void owner_engine::on_peer_gone(time_point, peer_handle peer,
+void owner_engine::on_peer_gone(time_point now, peer_handle peer,
                                 owner_actions& out)
 {
-    impl_->dispatcher.on_peer_gone(peer, out);
+    impl_->dispatcher.on_peer_gone(now, peer, out);
 }
 
 void owner_engine::on_sub_answer(time_point now, slot_handle handle,
--- a/src/core/owner/upstream_dispatcher.cpp
+++ b/src/core/owner/upstream_dispatcher.cpp
@@ -120,6 +120,18 @@
     schedule(u);
 }
 
+// A request that would be cancelled before its answer uses a slot for nothing.
+// Under overload the earliest deadline is always such a request, and an
+// upstream whose work is all cancelled never warms up. A request that finds
+// the queue empty is not asked, so that the latency can be learned again.
+// Submits are not cancelled.
+bool upstream_dispatcher::too_late(time_point now, owned_upstream const& u,
+                                   waiting_job const& next)
+{
+    auto const needed = next.submit ? duration{} : u.limiter.latency_quantile();
+    return next.deadline - now <= needed;
+}
+
 // Returns whether another job may follow.
 bool upstream_dispatcher::start_next(time_point now, owned_upstream& u,
                                      owner_actions& out)
@@ -128,7 +140,7 @@
         return false;
     }
     auto const next = *u.queue.pop();
-    if (next.deadline <= now) {
+    if (too_late(now, u, next)) {
         refuse(next.job, sub_outcome::timed_out, out);
     }
     else if (admission_.quarantined(jobs_.find(next.job)->print)) {
@@ -235,12 +247,22 @@
             }
             auto const h = work_->batch(it.handle)->target(*i).job;
             finish(*jobs_.find(h), sub_outcome::cancelled);
+            note_cancelled(now, h);
             abandon(h, out);
         }
     }
     work_->send_parts(now, out);
 }
 
+// Roots cancel at the deadline, mostly just before the owner's own timer.
+void upstream_dispatcher::note_cancelled(time_point now, slot_handle h)
+{
+    auto const& it = *jobs_.find(h);
+    if (it.dispatched && !it.submit) {
+        it.upstream->limiter.on_given_up(now - it.started);
+    }
+}
+
 // Takes a job out of the queue, or has the adapter cancel it; its slot then
 // counts as used until the adapter reports back.
 void upstream_dispatcher::abandon(slot_handle h, owner_actions& out)
@@ -257,14 +279,15 @@
     schedule(u);
 }
 
-void upstream_dispatcher::on_peer_gone(peer_handle peer, owner_actions& out)
+void upstream_dispatcher::on_peer_gone(time_point now, peer_handle peer,
+                                       owner_actions& out)
 {
     found_.clear();
     work_->find(peer, found_);
     for (auto const& it : found_) {
         switch (it.kind) {
         case peer_work::batch:
-            drop_batch(it.handle, out);
+            drop_batch(now, it.handle, out);
             break;
         case peer_work::submit:
             drop_submit(it.handle, out);
@@ -276,12 +299,14 @@
     }
 }
 
-void upstream_dispatcher::drop_batch(slot_handle batch, owner_actions& out)
+void upstream_dispatcher::drop_batch(time_point now, slot_handle batch,
+                                     owner_actions& out)
 {
     auto const& b = *work_->batch(batch);
     for (std::size_t i = 0; i < b.size(); ++i) {
         if (!b.target(i).done) {
             count_outcome(*counters_, sub_outcome::cancelled);
+            note_cancelled(now, b.target(i).job);
             abandon(b.target(i).job, out);
         }
     }
--- a/src/core/owner/upstream_dispatcher.hpp
+++ b/src/core/owner/upstream_dispatcher.hpp
@@ -26,7 +26,7 @@
     void on_cancel_targets(time_point now, peer_handle peer,
                            std::vector<upstream_id> const& targets,
                            owner_actions& out);
-    void on_peer_gone(peer_handle peer, owner_actions& out);
+    void on_peer_gone(time_point now, peer_handle peer, owner_actions& out);
     void on_sub_answer(time_point now, slot_handle handle, sub_answer answer,
                        owner_actions& out);
     void on_sub_failed(time_point now, slot_handle handle,
@@ -73,13 +73,16 @@
     void start(time_point now, slot_handle h, owner_actions& out);
     void start_query(time_point now, slot_handle h, owner_actions& out);
     void start_submit(time_point now, slot_handle h, owner_actions& out);
+    static bool too_late(time_point now, owned_upstream const& u,
+                         waiting_job const& next);
     bool start_next(time_point now, owned_upstream& u, owner_actions& out);
     // Ends a job that was not dispatched.
     void refuse(slot_handle h, sub_outcome outcome, owner_actions& out);
     void finish(job const& it, sub_outcome outcome, duration latency = {},
                 sub_answer answer = {});
+    void note_cancelled(time_point now, slot_handle h);
     void abandon(slot_handle h, owner_actions& out);
-    void drop_batch(slot_handle batch, owner_actions& out);
+    void drop_batch(time_point now, slot_handle batch, owner_actions& out);
     void drop_submit(slot_handle submit, owner_actions& out);
     void release(time_point now, slot_handle h, owner_actions& out);
     void schedule(owned_upstream& u);
--- a/src/core/owner/upstream_limiter.cpp
+++ b/src/core/owner/upstream_limiter.cpp
@@ -117,11 +117,24 @@
 // requests wait longest.
 void upstream_limiter::on_timeout(duration ran_for)
 {
-    if (ran_for >= latency_.quantile()) {
+    auto const counts = ran_for >= latency_.quantile();
+    on_given_up(ran_for);
+    if (counts) {
         fall();
     }
 }
 
+// The latency would have been at least ran_for. Without this sample the
+// quantile of an upstream that has become too slow for every request would
+// never rise. Shorter times are left out: they would lower the quantile
+// although the latency is unknown.
+void upstream_limiter::on_given_up(duration ran_for)
+{
+    if (ran_for >= latency_.quantile()) {
+        latency_.add(ran_for);
+    }
+}
+
 bool upstream_limiter::turn_cold()
 {
     if (!open() || !settings_->ramp) {
--- a/src/core/owner/upstream_limiter.hpp
+++ b/src/core/owner/upstream_limiter.hpp
@@ -54,6 +54,8 @@
     void on_shed() { fall(); }
     // ran_for: from dispatch to the deadline.
     void on_timeout(duration ran_for);
+    // The request was cancelled after it had run for this time.
+    void on_given_up(duration ran_for);
     // Returns whether the state was not cold before.
     bool turn_cold();
     // excess: requests that the upstream reports beyond those of this host.
