Do not suspect a query that the upstream has answered before

Cause: every fingerprint in flight at a reset was reported as a crash. Change: an owner remembers the last 64 fingerprints that each upstream answered, with the index version, until the upstream is lost or gained. Such a query is not reported at a reset of that upstream. A request that crashes each upstream that runs it is never answered, so it still takes down at most two. Conclusion: a mass restart no longer refuses common queries. A query that an upstream had not answered is still suspect there, whatever the cause.

--- a/src/core/owner/owned_upstream.hpp
+++ b/src/core/owner/owned_upstream.hpp
@@ -2,6 +2,7 @@
 
 #include "core/owner/deadline_queue.hpp"
 #include "core/owner/owner_engine.hpp"
+#include "core/owner/survived_prints.hpp"
 #include "core/owner/timer_queue.hpp"
 #include "core/owner/upstream_limiter.hpp"
 
@@ -63,6 +64,7 @@
     ownership_role role = ownership_role::none;
     upstream_limiter limiter;
     deadline_queue queue;
+    survived_prints survived;
     std::uint32_t in_flight = 0;
     std::uint64_t view_sequence = 0; // of the last view that listed it
     bool draining = false;
--- a/src/core/owner/owner_engine_impl.cpp
+++ b/src/core/owner/owner_engine_impl.cpp
@@ -99,7 +99,7 @@
     }
     u->view_sequence = views_;
     if (u->listing != listed) {
-        change_listing(*u, std::move(listed), out);
+        change_listing(now, *u, std::move(listed), out);
     }
     if (u->role != role) {
         change_role(now, *u, role, out);
@@ -107,7 +107,7 @@
     dispatcher.apply_state(now, *u, out);
 }
 
-void owner_engine::impl::change_listing(owned_upstream& u,
+void owner_engine::impl::change_listing(time_point now, owned_upstream& u,
                                         upstream_listing listed,
                                         owner_actions& out)
 {
@@ -119,7 +119,7 @@
         u.draining = false;
     }
     if (moved) {
-        dispatcher.health().turn_cold(u);
+        dispatcher.health().turn_cold(now, u);
     }
     if (u.role != ownership_role::none) {
         connect(u, out);
@@ -156,6 +156,7 @@
 {
     ++counters.ownership_gained;
     u.limiter.turn_cold();
+    u.survived.on_lost(now); // it may have restarted meanwhile
     u.limiter.hold(time_point::min());
     u.limiter.on_start(now);
     if (auto const state = handovers_.take(now, u.id())) {
@@ -255,7 +256,7 @@
         u->draining = false;
     }
     if (status.starting) {
-        dispatcher.health().turn_cold(*u);
+        dispatcher.health().turn_cold(now, *u);
     }
     u->limiter.on_reported_load(now, u->excess_load(status.in_flight));
     dispatcher.apply_state(now, *u, out);
--- a/src/core/owner/owner_engine_impl.hpp
+++ b/src/core/owner/owner_engine_impl.hpp
@@ -43,8 +43,8 @@
     bool had_other_owner(upstream_id id) const;
     void list(time_point now, routing_view const& view, topology_index i,
               ownership_role role, owner_actions& out);
-    void change_listing(owned_upstream& u, upstream_listing listed,
-                        owner_actions& out);
+    void change_listing(time_point now, owned_upstream& u,
+                        upstream_listing listed, owner_actions& out);
     void change_role(time_point now, owned_upstream& u, ownership_role role,
                      owner_actions& out);
     void gain(time_point now, owned_upstream& u, owner_actions& out);
--- a/src/core/owner/upstream_dispatcher.cpp
+++ b/src/core/owner/upstream_dispatcher.cpp
@@ -69,7 +69,8 @@
     auto const h = jobs_.insert({.upstream = u,
                                  .work = batch,
                                  .target = static_cast<std::uint32_t>(target),
-                                 .print = b.request().print});
+                                 .print = b.request().print,
+                                 .version = b.request().version});
     b.set_job(target, h);
     if (u->queue.empty() && u->limiter.may_start(now, u->in_flight)) {
         start(now, h, out);
@@ -377,7 +378,7 @@
         auto const latency = now - it->started;
         auto const outcome =
             check_answer(answer, request.version, request.order, request.limit);
-        health_.on_answer(now, *it->upstream, outcome, latency);
+        health_.on_answer(now, *it->upstream, it->finished(), outcome);
         if (outcome == sub_outcome::merged) {
             it->upstream->note_answer(answer);
             finish(*it, outcome, latency, std::move(answer));
@@ -398,8 +399,7 @@
         return;
     }
     assert(failed.outcome != sub_outcome::merged);
-    health_.on_failed(now, *it->upstream, it->print, failed, now - it->started,
-                      it->reported, out);
+    health_.on_failed(now, *it->upstream, it->finished(), failed, out);
     if (!it->reported) {
         finish(*it, failed.outcome);
     }
@@ -414,8 +414,7 @@
     if (it == nullptr) {
         return;
     }
-    health_.on_submit(now, *it->upstream, it->print, result.outcome,
-                      now - it->started, out);
+    health_.on_submit(now, *it->upstream, it->finished(), result.outcome, out);
     work_->finish_submit(it->work, std::move(result.outcome), out);
     release(now, handle, out);
 }
--- a/src/core/owner/upstream_dispatcher.hpp
+++ b/src/core/owner/upstream_dispatcher.hpp
@@ -60,10 +60,19 @@
         slot_handle work; // batch or submit
         std::uint32_t target = 0;
         fingerprint print;
+        index_version version; // pinned; 0 for a submit
         time_point started{};
         bool submit = false;
         bool dispatched = false;
         bool reported = false; // cancelled or timed out; result is dropped
+
+        finished_request finished() const
+        {
+            return {.print = print,
+                    .version = version,
+                    .started = started,
+                    .abandoned = reported};
+        }
     };
 
     void admit(time_point now, slot_handle batch, std::size_t target,
--- a/src/core/owner/upstream_health.cpp
+++ b/src/core/owner/upstream_health.cpp
@@ -65,10 +65,12 @@
 }
 
 void upstream_health::on_answer(time_point now, owned_upstream& u,
-                                sub_outcome outcome, duration latency)
+                                finished_request const& request,
+                                sub_outcome outcome)
 {
     if (outcome == sub_outcome::merged) {
-        u.limiter.on_answer(now, latency);
+        u.limiter.on_answer(now, now - request.started);
+        u.survived.on_answer(request.print, request.version, request.started);
     }
     else if (outcome == sub_outcome::malformed) {
         u.limiter.on_shed();
@@ -76,9 +78,8 @@
 }
 
 void upstream_health::on_failed(time_point now, owned_upstream& u,
-                                fingerprint print, sub_failure const& failed,
-                                duration ran_for, bool abandoned,
-                                owner_actions& out)
+                                finished_request const& request,
+                                sub_failure const& failed, owner_actions& out)
 {
     switch (failed.outcome) {
     case sub_outcome::shed:
@@ -87,18 +88,18 @@
         break;
     case sub_outcome::timed_out:
         // The timeout of an abandoned request has been counted before.
-        if (!abandoned) {
-            u.limiter.on_timeout(ran_for);
+        if (!request.abandoned) {
+            u.limiter.on_timeout(now - request.started);
         }
         break;
     case sub_outcome::draining:
         u.set_draining(now);
         break;
     case sub_outcome::reset:
-        on_reset(u, print, out);
+        on_reset(now, u, request, out);
         break;
     case sub_outcome::unreachable:
-        turn_cold(u);
+        turn_cold(now, u);
         break;
     case sub_outcome::version_gone:
         u.keep_held(failed.held);
@@ -109,8 +110,8 @@
 }
 
 void upstream_health::on_submit(time_point now, owned_upstream& u,
-                                fingerprint print,
-                                submit_outcome const& outcome, duration ran_for,
+                                finished_request const& request,
+                                submit_outcome const& outcome,
                                 owner_actions& out)
 {
     // The latency of a submit is not compared with that of queries.
@@ -122,25 +123,32 @@
     auto const reason = not_run != nullptr
                             ? not_run->reason
                             : std::get<submit_unknown>(outcome).reason;
-    on_failed(now, u, print, {.outcome = outcome_of(reason)}, ran_for, false,
-              out);
+    on_failed(now, u, request, {.outcome = outcome_of(reason)}, out);
 }
 
-void upstream_health::turn_cold(owned_upstream& u)
+void upstream_health::turn_cold(time_point now, owned_upstream& u)
 {
+    u.survived.on_lost(now);
     if (u.limiter.turn_cold()) {
         ++counters_->turned_cold;
     }
 }
 
-// An upstream that has announced that it leaves may close its connections.
-void upstream_health::on_reset(owned_upstream& u, fingerprint print,
+// An upstream that has announced that it leaves may close its connections. A
+// request that the upstream has answered before does not crash it; when many
+// upstreams restart at once, the common queries are in flight at most of them.
+void upstream_health::on_reset(time_point now, owned_upstream& u,
+                               finished_request const& request,
                                owner_actions& out)
 {
-    if (u.closed_state() != limiter_state::leaving) {
-        out.emplace_back(report_crash{.print = print, .upstream = u.id()});
+    auto const announced = u.closed_state() == limiter_state::leaving;
+    auto const harmless =
+        u.survived.contains(request.print, request.version, request.started);
+    if (!announced && !harmless) {
+        out.emplace_back(
+            report_crash{.print = request.print, .upstream = u.id()});
     }
-    turn_cold(u);
+    turn_cold(now, u);
 }
 
 } // namespace snipemill
