Send new crash records to all members at once

Crash records travelled with membership probes only, one probe per second and host. Until a host had heard of a query's crashes, it let the query crash further upstreams.

The host of the owner that reports a crash now sends the record in one datagram to each member, when the record is new or names one more upstream. The datagram is an answer to no probe (sequence 0) without membership updates, so it draws no answers and its size does not depend on the fleet.

The unit tests of quarantine, membership and settings pass in release. The time a record takes to reach all hosts was not measured.

--- a/src/adapters/settings/host_settings.cpp
+++ b/src/adapters/settings/host_settings.cpp
@@ -126,13 +126,15 @@
     out.max_queue = queue;
 }
 
-void read_crashes(yaml_reader& in, quarantine_settings& out)
+void read_crashes(yaml_reader& in, host_settings& out)
 {
-    std::uint64_t entries = out.max_entries;
-    in.read("distinct_upstreams", out.distinct_upstreams, {1, 100});
-    in.read_ms("expiry_ms", out.expiry, ms_range);
+    auto& crashes = out.crashes;
+    std::uint64_t entries = crashes.max_entries;
+    in.read("distinct_upstreams", crashes.distinct_upstreams, {1, 100});
+    in.read_ms("expiry_ms", crashes.expiry, ms_range);
     in.read("max_entries", entries, count_range);
-    out.max_entries = entries;
+    in.read("bursts_per_second", out.crash_bursts.per_second, {0, 1000});
+    crashes.max_entries = entries;
 }
 
 void read_shutdown(yaml_reader& in, host_settings& out)
@@ -176,7 +178,7 @@
            [&](yaml_reader& it) { read_configuration(it, out.spread); });
     in.map("upstreams",
            [&](yaml_reader& it) { read_upstreams(it, out.owner); });
-    in.map("crashes", [&](yaml_reader& it) { read_crashes(it, out.crashes); });
+    in.map("crashes", [&](yaml_reader& it) { read_crashes(it, out); });
     in.map("shutdown", [&](yaml_reader& it) { read_shutdown(it, out); });
     in.map("log", [&](yaml_reader& it) { read_log(it, out); });
     in.finish();
--- a/src/adapters/settings/host_settings.hpp
+++ b/src/adapters/settings/host_settings.hpp
@@ -6,6 +6,7 @@
 #include "core/config/config_spread.hpp"
 #include "core/membership/member_list.hpp"
 #include "core/owner/owner_engine.hpp"
+#include "core/quarantine/crash_bursts.hpp"
 #include "core/quarantine/quarantine.hpp"
 #include "core/query/query_engine.hpp"
 #include "core/submit/submit_engine.hpp"
@@ -59,6 +60,7 @@
     owner_engine_settings owner;
     submit_engine_settings submit;
     quarantine_settings crashes;
+    crash_burst_settings crash_bursts;
 
     duration drain_linger = from_ms(2000);    // keeps accepting, not ready
     duration drain_timeout = from_ms(30'000); // then open requests are cut
--- a/src/app/control_plane.hpp
+++ b/src/app/control_plane.hpp
@@ -130,6 +130,8 @@
     void send_handover(std::vector<upstream_gauge> const& gauges);
     std::vector<live_host> live_hosts() const;
     std::vector<crash_record> next_crashes();
+    // Sends new crash records to all members, as far as the rate allows.
+    void send_crash_burst();
     peer_address const* member_address(host_id const& id);
     void report_data_centres(topology const& now);
 
@@ -152,6 +154,7 @@
     platform_client platform_;
     peer_client peers_;
     quarantine quarantine_;
+    crash_bursts crash_bursts_;
     std::vector<fingerprint> refused_; // as the lanes know it
     std::size_t next_crash_ = 0;       // rotates the records that probes carry
 
--- a/src/app/control_services.cpp
+++ b/src/app/control_services.cpp
@@ -32,14 +32,44 @@
 void control_plane::report_crash(fingerprint print, upstream_id upstream)
 {
     boost::asio::post(io_, [this, print, upstream] {
+        auto const before = quarantine_.find(print);
         if (quarantine_.on_crash(core_now(), print, upstream)) {
             events_->report(event_kind::request_quarantined,
                             std::to_string(print.value), "");
         }
         crashes_changed();
+        // A further crash of a known upstream is no news to the members.
+        auto const after = quarantine_.find(print);
+        if (after && (!before || before->upstreams != after->upstreams)) {
+            crash_bursts_.add(print);
+            send_crash_burst();
+        }
     });
 }
 
+void control_plane::send_crash_burst()
+{
+    std::vector<crash_record> records;
+    for (auto const print : crash_bursts_.take(core_now())) {
+        if (auto record = quarantine_.find(print)) {
+            records.push_back(std::move(*record));
+        }
+    }
+    if (records.empty()) {
+        return;
+    }
+    member_actions out;
+    members_->announce(out);
+    for (auto& it : out) {
+        if (auto* sent = std::get_if<send_probe>(&it)) {
+            probes_->send(sent->ip, sent->port,
+                          {.time = events_->stamp(),
+                           .message = std::move(sent->message),
+                           .crashes = records});
+        }
+    }
+}
+
 void control_plane::crashes_changed()
 {
     auto refused = quarantine_.refused_prints(core_now());
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -19,6 +19,7 @@
 #include "core/membership/member_list.hpp"
 #include "core/owner/owner_engine.hpp"
 #include "core/ownership/owner_table.hpp"
+#include "core/quarantine/crash_bursts.hpp"
 #include "core/quarantine/quarantine.hpp"
 #include "core/query/messages.hpp"
 #include "core/query/query_engine.hpp"
--- a/src/core/membership/member_list.cpp
+++ b/src/core/membership/member_list.cpp
@@ -16,6 +16,9 @@
 // Members told at once when this host leaves; gossip does the rest.
 constexpr std::size_t leave_fanout = 3;
 
+// Sequence of acks that answer no probe; probes count from 1.
+constexpr std::uint64_t no_probe = 0;
+
 } // namespace
 
 class member_list::impl
@@ -33,6 +36,7 @@
                     member_actions& out);
     void on_timer(time_point now, member_actions& out);
     void leave(time_point now, member_actions& out);
+    void announce(member_actions& out);
     time_point next_timer() const;
 
     member_list_settings settings_;
@@ -117,8 +121,8 @@
     // The answer to a probe carries the new incarnation anyway.
     if (counters_.refuted != refuted_before && m.kind != probe_kind::probe) {
         auto const& from = members_.find(m.from.id)->info;
-        send({from.ip, from.peer_port}, compose(probe_kind::ack, 0, m.from.id),
-             out);
+        send({from.ip, from.peer_port},
+             compose(probe_kind::ack, no_probe, m.from.id), out);
     }
 }
 
@@ -348,6 +352,22 @@
     }
 }
 
+// Without updates, so that the cost per member stays small and the updates'
+// own spread does not count these messages.
+void member_list::impl::announce(member_actions& out)
+{
+    for (auto const& id : members_.active()) {
+        auto const& info = members_.find(id)->info;
+        ++counters_.announced;
+        send({info.ip, info.peer_port},
+             {.kind = probe_kind::ack,
+              .sequence = no_probe,
+              .from = self_,
+              .config_number = config_number_},
+             out);
+    }
+}
+
 probe_message member_list::impl::compose(probe_kind kind,
                                          std::uint64_t sequence,
                                          host_id const& to)
@@ -458,6 +478,11 @@
     impl_->leave(now, out);
 }
 
+void member_list::announce(member_actions& out)
+{
+    impl_->announce(out);
+}
+
 time_point member_list::next_timer() const
 {
     return impl_->next_timer();
--- a/src/core/membership/member_list.hpp
+++ b/src/core/membership/member_list.hpp
@@ -116,6 +116,7 @@
     std::uint64_t suspected = 0;
     std::uint64_t refuted = 0;
     std::uint64_t declared_dead = 0;
+    std::uint64_t announced = 0; // messages, one for each member
 };
 
 // SWIM-style list of the fleet's hosts. The traffic per host does not depend
@@ -136,6 +137,9 @@
     void on_timer(time_point now, member_actions& out);
     // Announces that this host leaves; it is no owner any more.
     void leave(time_point now, member_actions& out);
+    // Sends each member that takes part one message without updates that wants
+    // no answer, for what the adapter adds to it.
+    void announce(member_actions& out);
 
     time_point next_timer() const;
     member_info const& self() const;
--- a/src/core/quarantine/quarantine.cpp
+++ b/src/core/quarantine/quarantine.cpp
@@ -169,6 +169,17 @@
     });
 }
 
+std::optional<crash_record> quarantine::find(fingerprint print) const
+{
+    auto const it = std::lower_bound(
+        records_.begin(), records_.end(), print,
+        [](crash_record const& r, fingerprint p) { return r.print < p; });
+    if (it == records_.end() || it->print != print) {
+        return std::nullopt;
+    }
+    return *it;
+}
+
 std::vector<crash_record> quarantine::records() const
 {
     return records_;
--- a/src/core/quarantine/quarantine.hpp
+++ b/src/core/quarantine/quarantine.hpp
@@ -55,6 +55,7 @@
     bool remove(fingerprint print);
     void expire(time_point now);
 
+    std::optional<crash_record> find(fingerprint print) const;
     std::vector<crash_record> records() const; // ascending by fingerprint
     std::vector<fingerprint> refused_prints(time_point now) const;
 
--- a/tests/adapters/settings/host_settings_test.cpp
+++ b/tests/adapters/settings/host_settings_test.cpp
@@ -47,6 +47,17 @@
     CHECK(settings->owner.ramp);
 }
 
+// Guards against a rate of crash datagrams that cannot be set.
+TEST(host_settings, rate_of_crash_bursts_is_read)
+{
+    auto const result =
+        parse_host_settings(minimal + "crashes: {bursts_per_second: 9}\n");
+    auto const* settings = std::get_if<host_settings>(&result);
+    CHECK(settings != nullptr);
+    LONGS_EQUAL(9, settings->crash_bursts.per_second);
+    CHECK(!faults_of(minimal + "crashes: {bursts_per_second: 1001}\n").empty());
+}
+
 // Guards against a check that stops at the first fault.
 TEST(host_settings, every_fault_is_reported_with_its_line)
 {
--- a/tests/core/membership/member_list_test.cpp
+++ b/tests/core/membership/member_list_test.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <bit>
+#include <set>
+#include <string>
 
 using namespace snipemill;
 using snipemill::test::fleet;
@@ -136,6 +138,39 @@
     }
 }
 
+// Guards against news that reaches only some members, against answers to it
+// from all of them, and against updates that it pushes out of probes.
+TEST(member_list, announcement_reaches_each_member_and_wants_no_answer)
+{
+    fleet f(7, 2, 4);
+    CHECK(f.run_until_agreed(from_ms(30'000)));
+    f.kill(5);
+    f.run_for(from_ms(40'000));
+    member_actions out;
+    f.hosts()[0].list->announce(out);
+    std::set<std::string> reached;
+    for (auto const& it : out) {
+        auto const& sent = std::get<send_probe>(it);
+        CHECK(sent.message.updates.empty());
+        reached.insert(sent.ip);
+        for (auto& host : f.hosts()) {
+            if (host.info.ip != sent.ip) {
+                continue;
+            }
+            member_actions answers;
+            host.list->on_message(f.now(), sent.message, answers);
+            for (auto const& answer : answers) {
+                CHECK(!std::holds_alternative<send_probe>(answer));
+            }
+        }
+    }
+    LONGS_EQUAL(6, out.size());
+    LONGS_EQUAL(6, reached.size());
+    CHECK(!reached.contains(f.hosts()[0].info.ip));
+    CHECK(!reached.contains(f.hosts()[5].info.ip));
+    LONGS_EQUAL(6, f.hosts()[0].list->counters().announced);
+}
+
 // Guards against a shorter suspicion for hosts that a slow link separates.
 TEST(member_list, suspicion_is_longer_across_data_centres)
 {
