Try another service after a failure in the first step

Cause: after a lost connection the first step of a query retried at the other replica of the same service. In two runs of crash.a_crashing_query_takes_down_at_most_two_upstreams one request crashed the two replicas of one service, 2.0 and 4.5 ms apart, and then 17 normal queries of each run ended with coverage_too_low. Each of them had found both replicas of that service unreachable; retry tokens were left.

Change: a service that fails in the step is set aside, and the step goes on at another service. After two sub-requests that may have run without an answer the query ends; a re-run does not start this count anew. Once an upstream has answered, the services set aside are asked again with the rest, as retries under the budget: at another replica or the second owner, or at the same replica when there is no other. Another replica of the same service is tried during the step only when no other service is left, as in a group with one service. A service whose upstream lacks the version is retried at once as before, because that upstream is up and did not run the query.

--- a/src/core/query/attempt_table.hpp
+++ b/src/core/query/attempt_table.hpp
@@ -63,6 +63,7 @@
     bool retried = false;
     bool hedged = false;
     bool owner_lost = false; // last failure was that of the owner's stream
+    bool postponed = false;  // failed in the first step, asked again after it
     sub_outcome last = sub_outcome::refused; // last failure, not of a hedge
     std::uint32_t last_attempt = 0;          // that failed so
 
--- a/src/core/query/query_run.cpp
+++ b/src/core/query/query_run.cpp
@@ -18,6 +18,11 @@
 // Upstreams that the first step tries at most, when they refuse to run it.
 constexpr std::uint32_t max_step_requests = 4;
 
+// Sub-requests of the first step that may have run without an answer before
+// the query ends. Each of them may have crashed an upstream, and the second
+// one puts the query into quarantine.
+constexpr std::uint32_t max_step_failures = 2;
+
 // An early answer waits for this many times the hedge quantile.
 constexpr int early_answer_factor = 2;
 
@@ -38,6 +43,7 @@
     sent_before_ = 0;
     hedges_before_ = 0;
     reruns_ = 0;
+    step_failed_ = 0;
 
     query_batch pattern;
     pattern.group = query_.group;
@@ -120,42 +126,54 @@
     send_step(shared, now, out);
 }
 
-void query_run::send_step(query_shared& shared, time_point now,
+// Services that were not tried go first. One that failed in the step is tried
+// again only when there is no other, so that a query that crashes its upstreams
+// does not take down all replicas of one service.
+bool query_run::send_step(query_shared& shared, time_point now,
+                          query_actions& out)
+{
+    return send_step(shared, now, false, out) ||
+           send_step(shared, now, true, out);
+}
+
+bool query_run::send_step(query_shared& shared, time_point now, bool postponed,
                           query_actions& out)
 {
     auto const n = static_cast<std::uint32_t>(run_.table().services().size());
     for (std::uint32_t i = 0; i < n; ++i) {
         step_service_ = (step_service_ + 1) % n;
         auto const& service = run_.table().service(step_service_);
-        if (service.closed || service.tried_count > 0) {
-            continue;
-        }
-        if (run_.send_one(shared, now, step_service_, out)) {
+        auto const wanted = postponed
+                                ? service.postponed
+                                : !service.closed && service.tried_count == 0;
+        if (wanted && run_.send_step(shared, now, step_service_, out)) {
             ++step_sent_;
-            return;
+            return true;
         }
     }
+    return false;
 }
 
 void query_run::check_step(query_shared& shared, time_point now,
                            query_actions& out)
 {
     auto const& service = run_.table().service(step_service_);
-    if (!service.closed) {
-        return;
-    }
     if (service.merged) {
         shared.prints.insert(input_.pattern.print);
         send_first(shared, now, out);
         return;
     }
-    auto const again = did_not_run(service.last) && !service.owner_lost &&
-                       step_sent_ < max_step_requests;
-    if (again) {
-        send_step(shared, now, out);
+    if (service.open > 0) {
         return;
     }
-    finish(shared, now, false, out);
+    auto const harmless = did_not_run(service.last) && !service.owner_lost;
+    step_failed_ += harmless ? 0 : 1;
+    auto const again = service.last != sub_outcome::timed_out &&
+                       step_failed_ < max_step_failures &&
+                       step_sent_ < max_step_requests;
+    if (!again || !send_step(shared, now, out)) {
+        finish(shared, now, false, out);
+    }
 }
 
 void query_run::on_part(query_shared& shared, time_point now,
--- a/src/core/query/query_run.hpp
+++ b/src/core/query/query_run.hpp
@@ -54,7 +54,10 @@
 
     void send_first(query_shared& shared, time_point now, query_actions& out);
     void start_step(query_shared& shared, time_point now, query_actions& out);
-    void send_step(query_shared& shared, time_point now, query_actions& out);
+    // Return false when there is nothing to send to.
+    bool send_step(query_shared& shared, time_point now, query_actions& out);
+    bool send_step(query_shared& shared, time_point now, bool postponed,
+                   query_actions& out);
     void check_step(query_shared& shared, time_point now, query_actions& out);
 
     // Decides what follows after an event: retries, a re-run, the answer.
@@ -90,6 +93,7 @@
 
     std::uint32_t step_service_ = 0;
     std::uint32_t step_sent_ = 0;
+    std::uint32_t step_failed_ = 0; // sub-requests that may have run, all runs
     // Of an earlier run.
     std::uint32_t sent_before_ = 0;
     std::uint32_t hedges_before_ = 0;
--- a/src/core/query/snapshot_run.cpp
+++ b/src/core/query/snapshot_run.cpp
@@ -51,6 +51,7 @@
     cancels_.clear();
     hedge_after_ = in_.load->latency.estimate(in_.hedge_quantile)
                        .value_or(shared.settings.default_hedge_after);
+    stepping_ = false;
     gone_ = false;
     quarantined_ = false;
     sent_ = 0;
@@ -60,6 +61,7 @@
 void snapshot_run::send_first(query_shared& shared, time_point now,
                               query_actions& out)
 {
+    stepping_ = false;
     auto const n = static_cast<std::uint32_t>(table_.services().size());
     for (std::uint32_t s = 0; s < n; ++s) {
         auto const& service = table_.service(s);
@@ -72,11 +74,39 @@
         }
     }
     send_plan(shared, now, attempt_kind::first, out);
+    retry_postponed(shared, now, out);
 }
 
-bool snapshot_run::send_one(query_shared& shared, time_point now,
-                            std::uint32_t s, query_actions& out)
+void snapshot_run::retry_postponed(query_shared& shared, time_point now,
+                                   query_actions& out)
 {
+    auto const n = static_cast<std::uint32_t>(table_.services().size());
+    for (std::uint32_t s = 0; s < n; ++s) {
+        auto& service = table_.service(s);
+        if (!service.postponed) {
+            continue;
+        }
+        if (!plan_retry(shared, now, s)) {
+            table_.close_service(s);
+        }
+        service.postponed = false;
+    }
+    send_plan(shared, now, attempt_kind::retry, out);
+}
+
+bool snapshot_run::send_step(query_shared& shared, time_point now,
+                             std::uint32_t s, query_actions& out)
+{
+    stepping_ = true;
+    auto& service = table_.service(s);
+    if (service.postponed) {
+        if (!plan_retry(shared, now, s)) {
+            return false;
+        }
+        service.postponed = false;
+        send_plan(shared, now, attempt_kind::retry, out);
+        return true;
+    }
     if (!target_planner::plan_replica(shared, now,
                                       {.view = view_, .service = s})) {
         table_.close_service(s);
@@ -298,6 +328,12 @@
     if (service.closed || service.open > 0) {
         return;
     }
+    // An upstream without the version is up and did not run the query, so its
+    // service may be retried at once.
+    if (stepping_ && service.last != sub_outcome::version_gone) {
+        service.postponed = true;
+        return;
+    }
     if (plan_retry(shared, now, attempt.service)) {
         return;
     }
@@ -354,8 +390,14 @@
                                       .extra = true})) {
         return true;
     }
-    return service.last == sub_outcome::not_owner &&
-           target_planner::plan_other_owner(shared, failed, owner);
+    if (service.last == sub_outcome::not_owner &&
+        target_planner::plan_other_owner(shared, failed, owner)) {
+        return true;
+    }
+    // After the first step, the same replica again when there is no other.
+    return service.postponed && !stepping_ &&
+           target_planner::plan_replica(
+               shared, now, {.view = view_, .service = s, .extra = true});
 }
 
 void snapshot_run::send_cancels(query_actions& out)
--- a/src/core/query/snapshot_run.hpp
+++ b/src/core/query/snapshot_run.hpp
@@ -31,11 +31,15 @@
     // Starts anew with nothing sent.
     void reset(query_shared& shared, input const& in, run_view view);
 
-    // Sends to every service that was not tried yet.
+    // Ends the first step: sends to every service that was not tried yet, and
+    // again to those that failed in the step.
     void send_first(query_shared& shared, time_point now, query_actions& out);
-    // Sends to one service; returns false when it has no replica to send to.
-    bool send_one(query_shared& shared, time_point now, std::uint32_t s,
-                  query_actions& out);
+    // Sends to one service in the first step; returns false when it has no
+    // replica to send to. Until send_first is called, a service that fails is
+    // postponed and not retried: it could lose all its replicas to a query
+    // that crashes them.
+    bool send_step(query_shared& shared, time_point now, std::uint32_t s,
+                   query_actions& out);
     // Sends a hedge for each open service, as far as the budget goes.
     void hedge(query_shared& shared, time_point now, query_actions& out);
     // Sends the retries and cancellations that results have led to.
@@ -78,6 +82,8 @@
                    target_result const& result);
     void on_failed(query_shared& shared, time_point now, sub_attempt& attempt,
                    sub_outcome outcome);
+    void retry_postponed(query_shared& shared, time_point now,
+                         query_actions& out);
     void close_rest(query_shared& shared, time_point now, std::uint32_t batch,
                     bool owner_lost);
     void note_failure(query_shared& shared, time_point now,
@@ -96,6 +102,7 @@
     record_merger merger_;
     std::vector<std::pair<std::uint32_t, upstream_id>> cancels_; // by batch
     duration hedge_after_{};
+    bool stepping_ = false;    // in the first step
     bool gone_ = false;        // a service lost the pinned version
     bool quarantined_ = false; // an owner refuses the fingerprint
     std::uint32_t sent_ = 0;
