Reserve the headers of an upstream's answer

Cause: the headers of each answer were appended to a vector that grew by reallocation; malloc and free are about 7% of an owner's profile by themselves. Change: the vector gets its size first.

--- a/src/adapters/http/client_connection.cpp
+++ b/src/adapters/http/client_connection.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/error.hpp>
 
 #include <cassert>
+#include <iterator>
 #include <string_view>
 #include <utility>
 
@@ -269,6 +270,8 @@
                          .content_type =
                              std::string(message[http::field::content_type]),
                          .body = std::move(message.body())};
+    answer.headers.reserve(static_cast<std::size_t>(
+        std::distance(message.begin(), message.end())));
     for (auto const& field : message) {
         std::string name(field.name_string());
         for (auto& c : name) {
