Tell Asio that a lane has one thread

Cause: an io_context without a hint locks and signals for several threads, but one thread runs the handlers of a lane. Change: the lane's io_context gets the concurrency hint 1, with which handlers posted from the lane itself go into a queue without a lock. Posts from other threads stay safe.

--- a/src/app/lane.cpp
+++ b/src/app/lane.cpp
@@ -9,6 +9,10 @@
 
 namespace {
 
+// Lets Asio leave out locks and wake-ups between threads that run handlers;
+// other threads may still post.
+constexpr int one_thread = 1;
+
 constexpr auto watch_interval = std::chrono::milliseconds(200);
 
 upstream_pool_options pool_options()
@@ -24,8 +28,8 @@
 } // namespace
 
 lane::lane(lane_environment const& environment)
-    : env_(environment), work_(boost::asio::make_work_guard(io_)), timer_(io_),
-      watch_timer_(io_),
+    : env_(environment), io_(one_thread),
+      work_(boost::asio::make_work_guard(io_)), timer_(io_), watch_timer_(io_),
       query_(env_.settings->query, env_.lane, env_.owners->lanes(), env_.seed),
       owner_(env_.settings->owner, env_.lane, env_.owners->lanes(),
              env_.seed + 1),
