Pass changes of members on together

Cause: each change of a member copied the whole member list and rebuilt the ranks of readers from it, so that the start of a fleet of n hosts cost n lists of n members at each host. Change: changes are joined: the first one is passed on at once, those of the next 50 ms together after it, by the control thread's timer. The number of lists is in the status as control.member_lists. Lanes already got a view at most every 500 ms. Conclusion: the cost of lists while a fleet starts grows with its size and the time it takes, not with the square of its size.

--- a/src/app/control_plane.cpp
+++ b/src/app/control_plane.cpp
@@ -81,6 +81,7 @@
     for (auto& it : out) {
         std::visit([this](auto& a) { run_action(a); }, it);
     }
+    pass_on_members();
 }
 
 template <class F>
@@ -124,6 +125,7 @@
     }
     quarantine_.expire(now);
     crashes_changed();
+    pass_on_members();
     if (now >= next_view_) {
         update_view();
     }
@@ -171,6 +173,17 @@
         peers_.forget(a.member.id);
     }
     view_stale_ = true;
+    members_changed_.mark();
+}
+
+// The whole list is copied, so its cost must not come with each change: a
+// fleet that starts makes as many changes as it has hosts.
+void control_plane::pass_on_members()
+{
+    if (!members_changed_.take(core_now())) {
+        return;
+    }
+    ++member_lists_;
     with_spread([&](time_point now, spread_actions& out) {
         spread_->on_members(now, members_->members(), out);
     });
--- a/src/app/control_plane.hpp
+++ b/src/app/control_plane.hpp
@@ -51,6 +51,7 @@
     member_counters membership;
     platform_counters platform;
     peer_counters peer;
+    std::uint64_t member_lists = 0; // passed on to the configuration's spread
     std::uint64_t probe_bytes_sent = 0;
     std::uint64_t probe_bytes_received = 0;
     std::shared_ptr<routing_view const> view;
@@ -130,6 +131,7 @@
     void send_handover(std::vector<upstream_gauge> const& gauges);
     std::vector<live_host> live_hosts() const;
     std::vector<crash_record> next_crashes();
+    void pass_on_members();
     peer_address const* member_address(host_id const& id);
     void report_data_centres(topology const& now);
 
@@ -155,6 +157,10 @@
     std::vector<fingerprint> refused_; // as the lanes know it
     std::size_t next_crash_ = 0;       // rotates the records that probes carry
 
+    // Changes of the member list that spread_ has not been told.
+    paced_change members_changed_{from_ms(50)};
+    std::uint64_t member_lists_ = 0;
+
     std::shared_ptr<topology const> topology_;
     std::shared_ptr<routing_view const> view_;
     std::uint64_t view_sequence_ = 0;
--- a/src/app/host_status.cpp
+++ b/src/app/host_status.cpp
@@ -90,6 +90,7 @@
             {"suspected", m.suspected},
             {"refuted", m.refuted},
             {"declared_dead", m.declared_dead},
+            {"member_lists", control.member_lists},
             {"probe_bytes_sent", control.probe_bytes_sent},
             {"probe_bytes_received", control.probe_bytes_received},
             {"stream_bytes_sent", control.peer.bytes_sent},
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -5,6 +5,7 @@
 #include "core/base/error.hpp"
 #include "core/base/hash.hpp"
 #include "core/base/name_table.hpp"
+#include "core/base/paced_change.hpp"
 #include "core/base/rng.hpp"
 #include "core/base/slot_map.hpp"
 #include "core/base/strong_id.hpp"
