Release callbacks when an HTTP client or pool stops

A connection held its callbacks, the callbacks held the pool and the connection itself, and stop() only posted the failure of an open exchange. When the io_context did not run again, connections, pools and everything that the callbacks held were never freed. The same held for upstream_entry and upstream_control, and in the peer client for streams whose failure was posted and for connections that were to be closed later.

client_connection::discard() closes the socket and drops the callbacks without calling them; client_pool, upstream_entry and upstream_control use it when they stop, and jobs release their callbacks at once. The peer client keeps what is about to fail or close, so that its end discards that as well. A callback that ends an upstream pool no longer makes it open new connections.

--- a/src/adapters/http/client_connection.cpp
+++ b/src/adapters/http/client_connection.cpp
@@ -307,6 +307,16 @@
     }
 }
 
+void client_connection::discard()
+{
+    // The callbacks may hold the last references to this connection.
+    auto const self = shared_from_this();
+    auto const on_connect = std::exchange(on_connect_, nullptr);
+    auto const on_result = std::exchange(on_result_, nullptr);
+    auto const on_closed = std::exchange(on_closed_, nullptr);
+    shut();
+}
+
 void client_connection::shut()
 {
     state_ = state::closed;
--- a/src/adapters/http/client_connection.hpp
+++ b/src/adapters/http/client_connection.hpp
@@ -56,6 +56,9 @@
                   std::function<void(exchange_result)> f);
     // Closes the socket. An open exchange fails, an open connect too.
     void close();
+    // Closes the socket and releases the callbacks without calling them. They
+    // usually hold this connection, so an owner that stops must discard it.
+    void discard();
 
     // Connected and without an open exchange. Asks the kernel whether the
     // server has closed the connection.
--- a/src/adapters/http/client_pool.cpp
+++ b/src/adapters/http/client_pool.cpp
@@ -202,19 +202,29 @@
 void client_pool::stop()
 {
     stopped_ = true;
-    for (auto const& it : waiting_) {
-        it->timer.cancel();
+    auto const waiting = std::exchange(waiting_, {});
+    auto const running = std::exchange(running_, {});
+    auto const connections = std::exchange(all_, {});
+    idle_.clear();
+    for (auto const& it : waiting) {
+        release(*it);
     }
-    for (auto const& it : running_) {
-        it->timer.cancel();
+    for (auto const& it : running) {
+        release(*it);
     }
-    for (auto const& it : all_) {
-        it->close();
+    for (auto const& it : connections) {
+        it->discard();
     }
-    waiting_.clear();
-    running_.clear();
-    idle_.clear();
-    all_.clear();
+}
+
+// The wait of the timer holds the job until the io_context runs again, so the
+// callback is released here.
+void client_pool::release(job& it)
+{
+    it.done = true;
+    it.timer.cancel();
+    it.connection = nullptr;
+    it.f = nullptr;
 }
 
 } // namespace snipemill
--- a/src/adapters/http/client_pool.hpp
+++ b/src/adapters/http/client_pool.hpp
@@ -23,7 +23,8 @@
 
     void send(http_request&& request, duration timeout,
               std::function<void(http_result)> f);
-    // Closes all connections; open requests get no callback.
+    // Closes all connections and releases the callbacks of open requests
+    // without calling them.
     void stop();
 
 private:
@@ -52,6 +53,7 @@
                    exchange_result result);
     void finish(job_ptr const& it, http_result result);
     void drop(connection_ptr const& it);
+    static void release(job& it);
 
     boost::asio::io_context& io_;
     http_client_options options_;
--- a/src/adapters/http/http_client.hpp
+++ b/src/adapters/http/http_client.hpp
@@ -42,7 +42,8 @@
     http_client(http_client const&) = delete;
     http_client& operator=(http_client const&) = delete;
 
-    // f is called once, on the io_context's thread, never inside the call.
+    // f is called once, on the io_context's thread, never inside the call. When
+    // the client is destroyed first, f is released without being called.
     void send(http_request request, duration timeout,
               std::function<void(http_result)> f);
 
--- a/src/adapters/peer/peer_client.cpp
+++ b/src/adapters/peer/peer_client.cpp
@@ -6,6 +6,7 @@
 
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
 namespace snipemill {
 
@@ -41,9 +42,13 @@
 
     void stop()
     {
+        stopped_ = true;
         for (auto const& [id, it] : std::exchange(peers_, {})) {
             it->discard();
         }
+        for (auto const& it : std::exchange(closing_, {})) {
+            it->discard();
+        }
     }
 
     peer_counters const& counters() const { return *counters_; }
@@ -52,13 +57,28 @@
     // Streams fail after the call, as everywhere.
     void close_later(std::shared_ptr<peer_connection> const& it)
     {
-        boost::asio::post(io_, [weak = weak_from_this(), it] {
-            if (weak.expired()) {
+        if (closing_.empty()) {
+            boost::asio::post(io_, [weak = weak_from_this()] {
+                if (auto const self = weak.lock()) {
+                    self->close_now();
+                }
+            });
+        }
+        closing_.push_back(it);
+    }
+
+    // A callback may end the client; the connections after it are then
+    // discarded.
+    void close_now()
+    {
+        for (auto const& it : std::exchange(closing_, {})) {
+            if (stopped_) {
                 it->discard();
-                return;
             }
-            it->close();
-        });
+            else {
+                it->close();
+            }
+        }
     }
 
     std::shared_ptr<peer_connection> const& connection(peer_address const& to)
@@ -79,6 +99,8 @@
     peer_link_options options_;
     std::shared_ptr<peer_counters> counters_;
     std::unordered_map<host_id, std::shared_ptr<peer_connection>> peers_;
+    std::vector<std::shared_ptr<peer_connection>> closing_; // by close_later
+    bool stopped_ = false;
 };
 
 peer_client::peer_client(boost::asio::io_context& io,
--- a/src/adapters/peer/peer_connection.cpp
+++ b/src/adapters/peer/peer_connection.cpp
@@ -49,14 +49,23 @@
 
 void peer_connection::fail_later(std::shared_ptr<client_stream> const& stream)
 {
-    asio::post(io_, [self = shared_from_this(), stream] {
-        if (self->discarded_) {
-            stream->on_discarded();
+    if (failing_.empty()) {
+        asio::post(io_, [self = shared_from_this()] { self->fail_now(); });
+    }
+    failing_.push_back(stream);
+}
+
+// A callback may end the client; the streams after it are then discarded.
+void peer_connection::fail_now()
+{
+    for (auto const& it : std::exchange(failing_, {})) {
+        if (discarded_) {
+            it->on_discarded();
         }
         else {
-            stream->fail(errc::peer_unreachable, false);
+            it->fail(errc::peer_unreachable, false);
         }
-    });
+    }
 }
 
 void peer_connection::connect()
@@ -167,6 +176,9 @@
     for (auto const& it : std::exchange(waiting_, {})) {
         it->on_discarded();
     }
+    for (auto const& it : std::exchange(failing_, {})) {
+        it->on_discarded();
+    }
     for (auto const& it : std::exchange(leaving_, {})) {
         it->discard();
     }
--- a/src/adapters/peer/peer_connection.hpp
+++ b/src/adapters/peer/peer_connection.hpp
@@ -38,6 +38,7 @@
     void on_broken(h2_session const* session);
     void request(std::shared_ptr<client_stream> const& stream);
     void fail_later(std::shared_ptr<client_stream> const& stream);
+    void fail_now();
 
     boost::asio::io_context& io_;
     peer_address address_;
@@ -49,6 +50,7 @@
     std::shared_ptr<h2_session> session_;
     std::vector<std::shared_ptr<h2_session>> leaving_; // finish their streams
     std::vector<std::shared_ptr<client_stream>> waiting_;
+    std::vector<std::shared_ptr<client_stream>> failing_; // by fail_later
     connect_backoff backoff_;
     bool connecting_ = false;
     bool closed_ = false;
--- a/src/adapters/upstream/upstream_control.cpp
+++ b/src/adapters/upstream/upstream_control.cpp
@@ -152,7 +152,7 @@
     busy_ = false;
     status_open_ = false;
     if (auto const it = std::exchange(connection_, nullptr)) {
-        it->close();
+        it->discard();
     }
 }
 
--- a/src/adapters/upstream/upstream_control.hpp
+++ b/src/adapters/upstream/upstream_control.hpp
@@ -30,6 +30,7 @@
     // f is not called when there is no answer. A poll is dropped while the
     // previous one is open.
     void status(std::string text, callback f);
+    // Releases the callbacks without calling them.
     void close();
 
 private:
--- a/src/adapters/upstream/upstream_entry.cpp
+++ b/src/adapters/upstream/upstream_entry.cpp
@@ -86,6 +86,9 @@
 
 void upstream_entry::pump()
 {
+    if (stopped_) {
+        return; // by a callback
+    }
     while (!waiting_.empty()) {
         auto const connection = take_idle();
         if (!connection) {
@@ -413,21 +416,17 @@
     stopped_ = true;
     backoff_timer_.cancel();
     control_->close();
-    for (auto const& it : waiting_) {
-        it->timer.cancel();
-    }
-    for (auto const& it : running_) {
-        it->timer.cancel();
-        it->grace.cancel();
+    for (auto const& it : std::exchange(waiting_, {})) {
+        it->release();
     }
-    for (auto const& it : all_) {
-        it->close();
+    for (auto const& it : std::exchange(running_, {})) {
+        it->release();
     }
-    waiting_.clear();
-    running_.clear();
     idle_.clear();
-    all_.clear();
     stale_.clear();
+    for (auto const& it : std::exchange(all_, {})) {
+        it->discard();
+    }
 }
 
 } // namespace snipemill
--- a/src/adapters/upstream/upstream_entry.hpp
+++ b/src/adapters/upstream/upstream_entry.hpp
@@ -36,7 +36,7 @@
     void status(std::function<void(http_response const&)> f);
     // Has no connection and no request.
     bool unused() const;
-    // Closes everything; no callback follows.
+    // Closes everything and releases the callbacks without calling them.
     void stop();
 
 private:
--- a/src/adapters/upstream/upstream_job.hpp
+++ b/src/adapters/upstream/upstream_job.hpp
@@ -32,6 +32,17 @@
 {
     explicit upstream_job(boost::asio::io_context& io) : timer(io), grace(io) {}
 
+    // Ends the job without calling f. The waits of its timers hold the job
+    // until the io_context runs again, so that f is released here.
+    void release()
+    {
+        done = true;
+        timer.cancel();
+        grace.cancel();
+        connection = nullptr;
+        f = nullptr;
+    }
+
     std::variant<sub_request, submit_forward> request;
     std::function<void(job_end)> f; // called once
     std::uint64_t id = 0;           // X-Request-Id
--- a/src/adapters/upstream/upstream_pool.cpp
+++ b/src/adapters/upstream/upstream_pool.cpp
@@ -151,11 +151,13 @@
 
     void stop()
     {
-        jobs_.clear();
-        for (auto const& [id, it] : entries_) {
+        for (auto const& [id, it] : std::exchange(entries_, {})) {
             it->stop();
         }
-        entries_.clear();
+        // A job that is about to end is in no entry.
+        for (auto const& [id, it] : std::exchange(jobs_, {})) {
+            it->release();
+        }
     }
 
     upstream_counters const& counters() const { return *counters_; }
@@ -173,7 +175,9 @@
         // The upstream was never configured: no connection, nothing sent.
         boost::asio::post(io_, [it] {
             it->done = true;
-            it->f(exchange_result(exchange_failed{.sent = false}));
+            if (auto const f = std::exchange(it->f, nullptr)) {
+                f(exchange_result(exchange_failed{.sent = false}));
+            }
         });
     }
 
--- a/src/adapters/upstream/upstream_pool.hpp
+++ b/src/adapters/upstream/upstream_pool.hpp
@@ -30,6 +30,7 @@
 
 // Connections of one lane to its upstreams over HTTP/1.1. Connections are
 // opened outside requests and kept. A request is never repeated by the pool.
+// Destroying the pool releases all callbacks without calling them.
 class upstream_pool : public upstream_port
 {
 public:
--- a/tests/adapters/http/http_client_test.cpp
+++ b/tests/adapters/http/http_client_test.cpp
@@ -1,3 +1,4 @@
+#include "adapters/http/client_pool.hpp"
 #include "adapters/http/http_client.hpp"
 #include "support/raw_peer.hpp"
 
@@ -195,3 +196,42 @@
     CHECK(wait_results(1));
     CHECK(body(0) == "a");
 }
+
+// Guards against callbacks that are kept, with all that they hold, after the
+// client is gone.
+TEST(http_client, destruction_releases_the_callbacks)
+{
+    start(1);
+    auto const held = std::make_shared<int>(0);
+    auto const f = [held](http_result const&) { ++*held; };
+    client->send({.method = "POST", .target = "/sent"}, from_ms(20'000), f);
+    CHECK(wait_requests(0, 1));
+    client->send({.method = "POST", .target = "/waits"}, from_ms(20'000), f);
+    client.reset();
+    LONGS_EQUAL(2, held.use_count()); // held and f
+    CHECK(run_until(io, [&] { return server.peers[0]->closed; }));
+    LONGS_EQUAL(0, *held);
+}
+
+// Guards against connections that hold their pool, and the pool them, when
+// the io_context does not run again after the end of the client.
+TEST(http_client, stopped_pool_is_freed_with_its_io_context)
+{
+    for (bool const sent : {false, true}) {
+        auto own = std::make_optional<boost::asio::io_context>();
+        auto pool = std::make_shared<client_pool>(
+            *own,
+            http_client_options{.ip = "127.0.0.1", .port = server.port()});
+        std::weak_ptr<client_pool> const weak = pool;
+        pool->send({.method = "POST", .target = "/a"}, from_ms(20'000),
+                   [](http_result const&) {});
+        CHECK(!sent || run_until(*own, [&] {
+            io.poll();
+            return !server.peers.empty() && server.peers.back()->has("/a");
+        }));
+        pool->stop();
+        pool.reset();
+        own.reset();
+        CHECK(weak.expired());
+    }
+}
--- a/tests/adapters/peer/peer_link_test.cpp
+++ b/tests/adapters/peer/peer_link_test.cpp
@@ -434,3 +434,25 @@
     CHECK(c->messages.at(0) == "second");
     CHECK(wait_done(b));
 }
+
+// Guards against a stream and its callback that hold each other for good when
+// the io_context does not run again after the end of the client.
+TEST(peer_link, destruction_releases_streams_that_are_about_to_fail)
+{
+    start();
+    std::weak_ptr<open_request> const forgotten = open("a", "h1");
+    std::weak_ptr<open_request> const moved = open("b", "h2");
+    CHECK(wait_served(2));
+    raw_server listener(io);
+    port = listener.port();
+    listener.close();
+    CHECK(wait_done(open("c", "h3")));
+    std::weak_ptr<open_request> const refused = open("d", "h3");
+    open("e", "h2"); // at another address
+    client->forget(host_id("h1"));
+    requests.clear();
+    client.reset();
+    CHECK(forgotten.expired());
+    CHECK(moved.expired());
+    CHECK(refused.expired());
+}
--- a/tests/adapters/platform/platform_client_test.cpp
+++ b/tests/adapters/platform/platform_client_test.cpp
@@ -272,3 +272,19 @@
     CHECK(run_until(io, [&] { return listings.size() == 1; }));
     CHECK(std::get<platform_listing>(listings[0]).revision == 95);
 }
+
+// Guards against callbacks that are kept, with all that they hold, after the
+// client is gone and the io_context does not run again.
+TEST(platform_client, destruction_releases_the_callbacks)
+{
+    start();
+    auto const held = std::make_shared<int>(0);
+    client->get("k", [held](platform_result<platform_object> const&) {});
+    client->watch("config/", 91, from_ms(20'000),
+                  [held](platform_result<platform_listing> const&) {});
+    wait_request();
+    wait_request();
+    CHECK(held.use_count() > 2);
+    client.reset();
+    LONGS_EQUAL(1, held.use_count());
+}
--- a/tests/adapters/upstream/upstream_pool_test.cpp
+++ b/tests/adapters/upstream/upstream_pool_test.cpp
@@ -568,3 +568,31 @@
     CHECK(wait_results(1));
     CHECK(failed(0) == sub_outcome::unreachable);
 }
+
+// Guards against callbacks that are kept, with all that they hold, after the
+// pool is gone and the io_context does not run again.
+TEST(upstream_pool, destruction_releases_the_callbacks)
+{
+    auto const held = std::make_shared<int>(0);
+    for (std::uint32_t const max : {1U, 2U}) {
+        start(1, max);
+        if (max == 1) {
+            CHECK(wait_peers(1));
+            settle();
+        }
+        pool->status(upstream_id(1),
+                     [held](upstream_id, upstream_status const&) {});
+        for (std::uint32_t i = 0; i < 2; ++i) {
+            pool->query({.handle = {next_handle++, 1},
+                         .upstream = upstream_id(1),
+                         .request = {.version = index_version(7),
+                                     .remaining = from_ms(20'000),
+                                     .body = "{}"}},
+                        [held](slot_handle, sub_result const&) {});
+        }
+        wait_for(max == 1 ? "GET /status" : "POST /search");
+        CHECK(held.use_count() > 3);
+        pool.reset();
+        LONGS_EQUAL(1, held.use_count());
+    }
+}
