Share the accept code and the request loop

server_core and peer_acceptor had the same code for listening, for waiting after a failed accept and for taking connections that the kernel has accepted before a drain. It is now accept_loop in src/adapters/net, which passes each connection to its user. load.cpp and submit_load.cpp had the same loop over timed requests; it is now request_loop in testbed.

Behaviour is meant to be unchanged.

--- a/src/adapters/http/server_core.hpp
+++ b/src/adapters/http/server_core.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "adapters/http/http_server.hpp"
+#include "adapters/net/accept_loop.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -30,24 +30,19 @@
     http_server_options const& options() const { return options_; }
     http_handler const& handler() const { return handler_; }
     bool draining() const { return draining_; }
-    std::uint16_t port() const { return port_; }
+    std::uint16_t port() const { return listener_->port(); }
 
     std::size_t open_requests = 0;
     std::uint64_t bad_requests = 0;
 
 private:
-    void accept();
-    void accept_later();
-    void accept_pending();
     void add(boost::asio::ip::tcp::socket socket);
 
     boost::asio::io_context& io_;
     http_server_options options_;
     http_handler handler_;
-    boost::asio::ip::tcp::acceptor acceptor_;
-    boost::asio::steady_timer retry_;
+    std::shared_ptr<accept_loop> listener_;
     std::unordered_set<std::shared_ptr<server_connection>> connections_;
-    std::uint16_t port_ = 0;
     bool draining_ = false;
 };
 
--- a/src/adapters/peer/peer_acceptor.hpp
+++ b/src/adapters/peer/peer_acceptor.hpp
@@ -1,10 +1,10 @@
 #pragma once
 
+#include "adapters/net/accept_loop.hpp"
 #include "adapters/peer/h2_session.hpp"
 #include "adapters/peer/peer_link.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -24,24 +24,18 @@
     void drain();
     // Closes everything; handlers are not told.
     void stop();
-    std::uint16_t port() const { return port_; }
+    std::uint16_t port() const { return listener_->port(); }
     std::size_t open_streams() const;
     peer_counters const& counters() const { return *counters_; }
 
 private:
-    void accept();
-    void accept_later();
-    void accept_pending();
     void add(boost::asio::ip::tcp::socket socket);
 
-    boost::asio::io_context& io_;
     peer_link_options options_;
     std::shared_ptr<peer_handler const> handler_;
     std::shared_ptr<peer_counters> counters_;
-    boost::asio::ip::tcp::acceptor acceptor_;
-    boost::asio::steady_timer retry_;
+    std::shared_ptr<accept_loop> listener_;
     std::unordered_set<std::shared_ptr<h2_session>> sessions_;
-    std::uint16_t port_ = 0;
 };
 
 } // namespace snipemill
--- a/testbed/load.cpp
+++ b/testbed/load.cpp
@@ -1,12 +1,9 @@
 #include "testbed/load.hpp"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json/parse.hpp>
 
 #include <algorithm>
 #include <cmath>
-#include <memory>
 
 namespace testbed {
 
@@ -70,85 +67,43 @@
     return out;
 }
 
-// Sends the queries of one run at their times.
-class load_run
+http_request request_for(load_options const& options, std::uint32_t i,
+                         std::chrono::milliseconds elapsed)
 {
-public:
-    explicit load_run(load_options const& options)
-        : options_(options), timer_(io_), samples_(options.count)
-    {
-        for (auto const& it : options.targets) {
-            clients_.push_back(std::make_unique<http_client>(
-                io_, http_client_options{.ip = it.ip,
-                                         .port = it.port,
-                                         .max_connections = 256}));
-        }
-    }
-
-    std::vector<query_sample> run()
-    {
-        start_ = steady::now();
-        wait_next();
-        io_.run();
-        return std::move(samples_);
-    }
-
-private:
-    void wait_next()
-    {
-        if (next_ == options_.count) {
-            return;
-        }
-        auto const offset = std::chrono::duration<double>(
-            static_cast<double>(next_) / options_.rate);
-        timer_.expires_at(start_ +
-                          std::chrono::duration_cast<steady::duration>(offset));
-        timer_.async_wait([this](boost::system::error_code) {
-            send();
-            wait_next();
-        });
+    if (options.before) {
+        options.before(i, elapsed);
     }
-
-    void send()
-    {
-        auto const i = next_++;
-        auto const now = steady::now();
-        if (options_.before) {
-            options_.before(
-                i, std::chrono::duration_cast<std::chrono::milliseconds>(
-                       now - start_));
-        }
-        http_request request{.method = "POST",
-                             .target = "/v1/query",
-                             .body = options_.body_of ? options_.body_of(i)
-                                                      : options_.body};
-        clients_[i % clients_.size()]->send(
-            std::move(request), options_.timeout,
-            [this, i, now](http_result const& result) {
-                std::chrono::duration<double, std::milli> const took =
-                    steady::now() - now;
-                samples_[i] = read_sample(result, took.count());
-                if (++done_ == options_.count) {
-                    io_.stop();
-                }
-            });
-    }
-
-    load_options const& options_;
-    boost::asio::io_context io_;
-    boost::asio::steady_timer timer_;
-    std::vector<std::unique_ptr<http_client>> clients_;
-    std::vector<query_sample> samples_;
-    steady::time_point start_;
-    std::uint32_t next_ = 0;
-    std::uint32_t done_ = 0;
-};
+    return {.method = "POST",
+            .target = "/v1/query",
+            .body = options.body_of ? options.body_of(i) : options.body};
+}
 
 } // namespace
 
 std::vector<query_sample> run_load(load_options const& options)
 {
-    return load_run(options).run();
+    std::vector<query_sample> samples(options.count);
+    run_requests(
+        {.targets = &options.targets,
+         .count = options.count,
+         .timeout = options.timeout,
+         .at =
+             [&](std::size_t i) {
+                 return std::chrono::duration_cast<steady::duration>(
+                     std::chrono::duration<double>(static_cast<double>(i) /
+                                                   options.rate));
+             },
+         .target = [&](std::size_t i) { return i % options.targets.size(); },
+         .make =
+             [&](std::size_t i, std::chrono::milliseconds elapsed) {
+                 return request_for(options, static_cast<std::uint32_t>(i),
+                                    elapsed);
+             },
+         .done =
+             [&](std::size_t i, http_result const& result, double latency_ms) {
+                 samples[i] = read_sample(result, latency_ms);
+             }});
+    return samples;
 }
 
 double quantile(std::vector<double> values, double fraction)
--- a/testbed/load.hpp
+++ b/testbed/load.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapters/http/http_client.hpp"
+#include "testbed/request_loop.hpp"
 
 #include <chrono>
 #include <cstdint>
@@ -30,12 +30,6 @@
     bool deadline_cut = false;
 };
 
-struct load_target
-{
-    std::string ip = "127.0.0.1";
-    std::uint16_t port = 0;
-};
-
 struct load_options
 {
     std::vector<load_target> targets; // used in turn
--- a/testbed/submit_load.cpp
+++ b/testbed/submit_load.cpp
@@ -1,11 +1,8 @@
 #include "testbed/submit_load.hpp"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/json/parse.hpp>
 
 #include <algorithm>
-#include <memory>
 #include <random>
 
 namespace testbed {
@@ -84,85 +81,16 @@
     }
 }
 
-// Sends the requests of one plan at their times.
-class submit_run
+http_request request_for(submit_load_options const& options, std::uint32_t key)
 {
-public:
-    explicit submit_run(submit_load_options const& options)
-        : options_(options), plan_(plan_of(options)), timer_(io_),
-          samples_(plan_.size())
-    {
-        for (auto const& it : options.targets) {
-            clients_.push_back(std::make_unique<http_client>(
-                io_, http_client_options{.ip = it.ip,
-                                         .port = it.port,
-                                         .max_connections = 256}));
-        }
-    }
-
-    std::vector<submit_sample> run()
-    {
-        start_ = steady::now();
-        wait_next();
-        io_.run();
-        return std::move(samples_);
-    }
-
-private:
-    void wait_next()
-    {
-        if (next_ == plan_.size()) {
-            return;
-        }
-        timer_.expires_at(start_ + plan_[next_].at);
-        timer_.async_wait([this](boost::system::error_code) {
-            send();
-            wait_next();
-        });
-    }
-
-    http_request request_for(std::uint32_t key) const
-    {
-        auto const number = std::to_string(key);
-        return {
-            .method = "POST",
+    auto const number = std::to_string(key);
+    return {.method = "POST",
             .target = "/v1/submit",
-            .headers = {{"Idempotency-Key", options_.prefix + "-" + number}},
+            .headers = {{"Idempotency-Key", options.prefix + "-" + number}},
             .body = R"({"group":"stores-desk","request":{"order":)" + number +
                     R"(},"deadline_ms":)" +
-                    std::to_string(options_.deadline_ms) + "}"};
-    }
-
-    void send()
-    {
-        auto const i = next_++;
-        auto const& planned = plan_[i];
-        if (options_.before) {
-            options_.before(
-                std::chrono::duration_cast<std::chrono::milliseconds>(
-                    steady::now() - start_));
-        }
-        auto request = request_for(planned.key);
-        samples_[i].key = request.headers.front().second;
-        clients_[planned.target]->send(std::move(request), answer_timeout,
-                                       [this, i](http_result const& result) {
-                                           read_result(result, samples_[i]);
-                                           if (++done_ == samples_.size()) {
-                                               io_.stop();
-                                           }
-                                       });
-    }
-
-    submit_load_options const& options_;
-    std::vector<planned_request> plan_;
-    boost::asio::io_context io_;
-    boost::asio::steady_timer timer_;
-    std::vector<std::unique_ptr<http_client>> clients_;
-    std::vector<submit_sample> samples_;
-    steady::time_point start_;
-    std::size_t next_ = 0;
-    std::size_t done_ = 0;
-};
+                    std::to_string(options.deadline_ms) + "}"};
+}
 
 // What the requests with one key led to.
 struct key_outcome
@@ -197,7 +125,25 @@
 
 std::vector<submit_sample> run_submits(submit_load_options const& options)
 {
-    return submit_run(options).run();
+    auto const plan = plan_of(options);
+    std::vector<submit_sample> samples(plan.size());
+    run_requests({.targets = &options.targets,
+                  .count = plan.size(),
+                  .timeout = answer_timeout,
+                  .at = [&](std::size_t i) { return plan[i].at; },
+                  .target = [&](std::size_t i) { return plan[i].target; },
+                  .make =
+                      [&](std::size_t i, std::chrono::milliseconds elapsed) {
+                          if (options.before) {
+                              options.before(elapsed);
+                          }
+                          auto request = request_for(options, plan[i].key);
+                          samples[i].key = request.headers.front().second;
+                          return request;
+                      },
+                  .done = [&](std::size_t i, http_result const& result,
+                              double) { read_result(result, samples[i]); }});
+    return samples;
 }
 
 std::map<std::string, std::uint64_t> run_log(fleet& f)
