Remove old claims at a bounded rate

Claims of submits were never removed, although the design promises it. Each host now lists its share of the claims, by the first digits of the key hash, and removes those of 26 h or more, at most 10 in any second, on condition of the listed version.

--- a/src/adapters/settings/host_settings.cpp
+++ b/src/adapters/settings/host_settings.cpp
@@ -135,6 +135,16 @@
     out.max_entries = entries;
 }
 
+void read_claims(yaml_reader& in, claim_removal_settings& out)
+{
+    auto hours = static_cast<std::uint32_t>(out.claim_age.count());
+    in.read("age_hours", hours, {min_claim_age.count(), 10'000});
+    in.read("removals_per_second", out.removals_per_second, {1, 1000});
+    in.read_ms("list_interval_ms", out.list_interval, ms_range);
+    in.read_ms("sweep_interval_ms", out.sweep_interval, ms_range);
+    out.claim_age = std::chrono::hours(hours);
+}
+
 void read_shutdown(yaml_reader& in, host_settings& out)
 {
     in.read_ms("linger_ms", out.drain_linger, {0, 600'000});
@@ -177,6 +187,7 @@
     in.map("upstreams",
            [&](yaml_reader& it) { read_upstreams(it, out.owner); });
     in.map("crashes", [&](yaml_reader& it) { read_crashes(it, out.crashes); });
+    in.map("claims", [&](yaml_reader& it) { read_claims(it, out.claims); });
     in.map("shutdown", [&](yaml_reader& it) { read_shutdown(it, out); });
     in.map("log", [&](yaml_reader& it) { read_log(it, out); });
     in.finish();
--- a/src/adapters/settings/host_settings.hpp
+++ b/src/adapters/settings/host_settings.hpp
@@ -8,6 +8,7 @@
 #include "core/owner/owner_engine.hpp"
 #include "core/quarantine/quarantine.hpp"
 #include "core/query/query_engine.hpp"
+#include "core/submit/claim_removal.hpp"
 #include "core/submit/submit_engine.hpp"
 
 #include <cstdint>
@@ -58,6 +59,7 @@
     query_engine_settings query;
     owner_engine_settings owner;
     submit_engine_settings submit;
+    claim_removal_settings claims;
     quarantine_settings crashes;
 
     duration drain_linger = from_ms(2000);    // keeps accepting, not ready
--- a/src/app/control_plane.cpp
+++ b/src/app/control_plane.cpp
@@ -26,7 +26,7 @@
       platform_(io_, settings.platform,
                 [this](bool reachable) { on_platform_state(reachable); }),
       peers_(io_, {.ip = settings.ip}), quarantine_(settings.crashes),
-      topology_(topology::build(0, {}))
+      removal_(settings.claims), topology_(topology::build(0, {}))
 {}
 
 control_plane::~control_plane() = default;
@@ -124,6 +124,7 @@
     }
     quarantine_.expire(now);
     crashes_changed();
+    remove_old_claims(now);
     if (now >= next_view_) {
         update_view();
     }
--- a/src/app/control_plane.hpp
+++ b/src/app/control_plane.hpp
@@ -110,6 +110,11 @@
     void run_action(config_adopted& a);
     void run_action(config_ready& a);
 
+    void run_action(list_claims& a);
+    void run_action(remove_claim& a);
+
+    void remove_old_claims(time_point now);
+    void on_claims_listed(platform_result<platform_listing> const& result);
     void on_probe(probe_packet packet);
     void on_head(std::uint64_t have, platform_result<platform_object> result);
     void read_state(std::uint64_t revision, config_head head);
@@ -152,6 +157,7 @@
     platform_client platform_;
     peer_client peers_;
     quarantine quarantine_;
+    claim_removal removal_;
     std::vector<fingerprint> refused_; // as the lanes know it
     std::size_t next_crash_ = 0;       // rotates the records that probes carry
 
--- a/src/app/control_services.cpp
+++ b/src/app/control_services.cpp
@@ -5,29 +5,8 @@
 
 namespace snipemill {
 
-// The part of the control plane that serves lanes and operators: claims, crash
-// records and status.
-
-void control_plane::put_claim(std::string key, std::string value,
-                              std::uint64_t if_version,
-                              platform_callback<platform_object> f)
-{
-    boost::asio::post(io_,
-                      [this, key = std::move(key), value = std::move(value),
-                       if_version, f = std::move(f)]() mutable {
-                          platform_.put(std::move(key), std::move(value),
-                                        if_version, std::move(f));
-                      });
-}
-
-void control_plane::get_claim(std::string key,
-                              platform_callback<platform_object> f)
-{
-    boost::asio::post(io_,
-                      [this, key = std::move(key), f = std::move(f)]() mutable {
-                          platform_.get(std::move(key), std::move(f));
-                      });
-}
+// The part of the control plane that serves lanes and operators: crash records
+// and status.
 
 void control_plane::report_crash(fingerprint print, upstream_id upstream)
 {
--- a/src/core/core.hpp
+++ b/src/core/core.hpp
@@ -22,5 +22,6 @@
 #include "core/quarantine/quarantine.hpp"
 #include "core/query/messages.hpp"
 #include "core/query/query_engine.hpp"
+#include "core/submit/claim_removal.hpp"
 #include "core/submit/messages.hpp"
 #include "core/submit/submit_engine.hpp"
--- a/tests/adapters/settings/host_settings_test.cpp
+++ b/tests/adapters/settings/host_settings_test.cpp
@@ -111,3 +111,11 @@
     CHECK(has_fault(faults_of(minimal + "seeds: 3\n"), 6, "must be a list"));
     CHECK(has_fault(faults_of("just text\n"), 1, "must be a map"));
 }
+
+// Guards against a claim that is removed while its key may be repeated.
+TEST(host_settings, claim_age_below_the_promise_is_refused)
+{
+    CHECK(has_fault(faults_of(minimal + "claims: {age_hours: 25}\n"), 6,
+                    "age_hours must be from 26"));
+    LONGS_EQUAL(0, faults_of(minimal + "claims: {age_hours: 26}\n").size());
+}
