--- a/src/adapters/settings/host_settings.hpp
+++ b/src/adapters/settings/host_settings.hpp
@@ -9,6 +9,7 @@
 #include "core/quarantine/crash_bursts.hpp"
 #include "core/quarantine/quarantine.hpp"
 #include "core/query/query_engine.hpp"
+#include "core/submit/claim_removal.hpp"
 #include "core/submit/submit_engine.hpp"
 
 #include <cstdint>
@@ -59,6 +60,7 @@
     query_engine_settings query;
     owner_engine_settings owner;
     submit_engine_settings submit;
+    claim_removal_settings claims;
     quarantine_settings crashes;
     crash_burst_settings crash_bursts;
 
--- a/src/app/control_plane.cpp
+++ b/src/app/control_plane.cpp
@@ -26,7 +26,8 @@
       platform_(io_, settings.platform,
                 [this](bool reachable) { on_platform_state(reachable); }),
       peers_(io_, {.ip = settings.ip}), quarantine_(settings.crashes),
-      crash_bursts_(settings.crash_bursts), topology_(topology::build(0, {}))
+      crash_bursts_(settings.crash_bursts), removal_(settings.claims),
+      topology_(topology::build(0, {}))
 {}
 
 control_plane::~control_plane() = default;
@@ -131,6 +132,7 @@
     crashes_changed();
     send_crash_burst();
     pass_on_members();
+    remove_old_claims(now);
     if (now >= next_view_) {
         update_view();
     }
