Describe versions that an owner knows only from a refusal

Cause: when all replicas replaced a version within one status interval, an owner learned the new version from the 410 of a sub-request, but kept it apart from what it describes to other hosts until the next status report. A lane or host without knowledge was then told nothing and refused the query with coverage_too_low, also for callers that accept any coverage. Ruled out: a stale catalogue at the host that saw the 410, which holds the new version.

Change: the owner keeps such a version with a partition count of 0 and adds its partitions when an answer tells them; a description without a count adds the version alone.

--- a/src/core/owner/owned_upstream.cpp
+++ b/src/core/owner/owned_upstream.cpp
@@ -90,24 +90,36 @@
 
 void owned_upstream::keep_held(std::vector<index_version> const& versions)
 {
-    std::erase_if(held, [&](held_version const& it) {
-        return std::find(versions.begin(), versions.end(), it.version) ==
-               versions.end();
-    });
-    held_versions = versions;
+    std::vector<held_version> kept;
+    kept.reserve(versions.size());
+    for (auto const version : versions) {
+        auto* const known = find_held(version);
+        kept.push_back(known != nullptr ? std::move(*known)
+                                        : held_version{.version = version});
+    }
+    held = std::move(kept);
+    list_held_versions();
 }
 
 void owned_upstream::note_answer(sub_answer const& answer)
 {
-    auto const it =
-        std::find(held_versions.begin(), held_versions.end(), answer.version);
-    if (it != held_versions.end()) {
-        return;
+    auto* known = find_held(answer.version);
+    if (known == nullptr) {
+        known = &held.emplace_back(held_version{.version = answer.version});
+        held_versions.push_back(answer.version);
+    }
+    if (known->partition_count == 0) {
+        known->partition_count = answer.partition_count;
+        known->partitions = answer.partitions;
     }
-    held.push_back({.version = answer.version,
-                    .partition_count = answer.partition_count,
-                    .partitions = answer.partitions});
-    held_versions.push_back(answer.version);
+}
+
+held_version* owned_upstream::find_held(index_version version)
+{
+    auto const it = std::find_if(
+        held.begin(), held.end(),
+        [version](held_version const& h) { return h.version == version; });
+    return it != held.end() ? &*it : nullptr;
 }
 
 void owned_upstream::list_held_versions()
--- a/src/core/owner/owned_upstream.hpp
+++ b/src/core/owner/owned_upstream.hpp
@@ -56,7 +56,8 @@
     bool report_is_newer_than_mark() const;
 
     void set_held(std::vector<held_version> versions);
-    // The upstream no longer holds any other version.
+    // The upstream holds these versions and no other. Of a new one only the
+    // version is known until an answer or a report tells its partitions.
     void keep_held(std::vector<index_version> const& versions);
     void note_answer(sub_answer const& answer);
 
@@ -80,6 +81,7 @@
     time_point next_poll = timer_queue::never;
 
 private:
+    held_version* find_held(index_version version);
     void list_held_versions();
 
     std::optional<time_point> last_poll_;
--- a/src/core/query/index_catalogue.cpp
+++ b/src/core/query/index_catalogue.cpp
@@ -109,7 +109,8 @@
     }
     set_versions(it, versions);
     for (auto const& held : description.held) {
-        if (it.find(held.version) != nullptr) {
+        // Without a partition count only the version itself is known.
+        if (held.partition_count > 0 && it.find(held.version) != nullptr) {
             set_partitions(hold(it, held.version), held.partitions);
         }
         note_count(group_of_[upstream], held.version, held.partition_count);
--- a/src/core/query/messages.hpp
+++ b/src/core/query/messages.hpp
@@ -166,7 +166,8 @@
 struct held_version
 {
     index_version version;
-    std::uint32_t partition_count = 0; // in the whole version
+    // In the whole version; 0: only the version is known.
+    std::uint32_t partition_count = 0;
     std::vector<partition_part> partitions;
 
     friend bool operator==(held_version const&, held_version const&) = default;
--- a/tests/core/owner/owner_engine_test.cpp
+++ b/tests/core/owner/owner_engine_test.cpp
@@ -303,6 +303,27 @@
     CHECK(b.gauge(1).condition == upstream_condition::cold);
 }
 
+// Guards against an owner that forgets a version which it knows only from a
+// 410, so that hosts without knowledge find no version to choose.
+TEST(owner_engine, describes_a_version_known_from_a_refusal)
+{
+    owner_bench b;
+    b.view({});
+    b.engine.on_status(b.now, upstream_id(1),
+                       {.held = {{.version = index_version(7)}}}, b.out);
+    b.batch(1, batch_of({1}));
+    b.engine.on_sub_failed(
+        b.now, b.all<dispatch_query>()[0].handle,
+        {.outcome = sub_outcome::version_gone, .held = {index_version(8)}},
+        b.out);
+    b.engine.on_describe(
+        b.now, 1, {.id = request_id(5), .targets = {upstream_id(1)}}, b.out);
+    auto const described = b.all<send_described>();
+    LONGS_EQUAL(1, described.size());
+    std::vector<held_version> const expected = {{.version = index_version(8)}};
+    CHECK(described[0].answer.upstreams[0].held == expected);
+}
+
 // Guards against a query that crashes upstreams being sent again.
 TEST(owner_engine, refuses_quarantined_fingerprints)
 {
--- a/tests/core/query/snapshot_choice_test.cpp
+++ b/tests/core/query/snapshot_choice_test.cpp
@@ -104,6 +104,23 @@
     LONGS_EQUAL(7, c.choose()->value);
 }
 
+// Guards against a version without known partitions being taken for one that
+// holds none.
+TEST(snapshot_choice, version_without_partitions_is_a_candidate)
+{
+    query_world w({.services = services, .replicas = 1});
+    choice_case c(w);
+    upstream_description it{.upstream = w.id(0, 0)};
+    it.held = {{.version = index_version(8)}};
+    auto const position = *c.routes.find(it.upstream);
+    c.catalogue.on_description(w.now, position, it);
+    auto const* const held =
+        c.catalogue.upstream(position).find(index_version(8));
+    CHECK(held != nullptr);
+    CHECK(!held->known);
+    LONGS_EQUAL(0, c.catalogue.find_map(0, index_version(8)).usable_count());
+}
+
 // Guards against a catalogue that forgets a contradiction, or that keeps
 // offering a version that an upstream has reported as gone.
 TEST(snapshot_choice, catalogue_learns_from_results)
