Keep the port of a crashed stand-in, and require every counter

Cause: the upstream stand-in closed its listener in a crash and bound the port again later; another process could be given the port in between. The sum of a counter over the upstreams took one that did not answer for 0, which hid faults. Change: a second socket, bound but never listening, holds the port while the listener is closed; connections are refused meanwhile as before. Conclusion: a test no longer fails for a lost port nor passes for a lost count.

--- a/standins/common/http_server.cpp
+++ b/standins/common/http_server.cpp
@@ -47,11 +47,26 @@
 http_server::http_server(boost::asio::io_context& io,
                          server_options const& options,
                          std::function<void(exchange_ptr)> handler)
-    : io_(io), options_(options), handler_(std::move(handler)), acceptor_(io)
+    : io_(io), options_(options), handler_(std::move(handler)), acceptor_(io),
+      reserved_(io)
 {
+    reserve();
     open();
 }
 
+// A second socket that is bound to the port and never listens. While the
+// listener is closed, connections are refused but no other process is given
+// the port.
+void http_server::reserve()
+{
+    tcp::endpoint const at(boost::asio::ip::address_v4::loopback(),
+                           options_.port);
+    reserved_.open(at.protocol());
+    reserved_.set_option(tcp::acceptor::reuse_address(true));
+    reserved_.bind(at);
+    options_.port = reserved_.local_endpoint().port();
+}
+
 void http_server::open()
 {
     tcp::endpoint const at(boost::asio::ip::address_v4::loopback(),
@@ -60,7 +75,6 @@
     acceptor_.set_option(tcp::acceptor::reuse_address(true));
     acceptor_.bind(at);
     acceptor_.listen();
-    options_.port = acceptor_.local_endpoint().port();
     accept();
 }
 
--- a/standins/common/http_server.hpp
+++ b/standins/common/http_server.hpp
@@ -88,12 +88,14 @@
 
 private:
     friend class session;
+    void reserve();
     void accept();
 
     boost::asio::io_context& io_;
     server_options options_;
     std::function<void(exchange_ptr)> handler_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    boost::asio::ip::tcp::acceptor reserved_; // holds the port
     std::set<std::shared_ptr<session>> sessions_;
     connection_counters counters_;
 };
--- a/standins/upstream/upstream.cpp
+++ b/standins/upstream/upstream.cpp
@@ -223,8 +223,7 @@
     });
 }
 
-// The listener stays open: between closing and opening it another process may
-// get the port.
+// The listener stays open: connection attempts succeed at once.
 void upstream::restart()
 {
     capacity_.clear();
--- a/testbed/fleet.cpp
+++ b/testbed/fleet.cpp
@@ -356,10 +356,16 @@
 {
     std::uint64_t sum = 0;
     for (std::size_t i = 0; i < upstream_ports_.size(); ++i) {
-        auto const counters = upstream_counters(i);
-        if (counters) {
-            sum += counters->at(counter).to_number<std::uint64_t>();
+        std::optional<json::object> counters;
+        // It has no listener for a time after a crash.
+        if (!wait_until([&] {
+                counters = upstream_counters(i);
+                return counters.has_value();
+            })) {
+            throw std::runtime_error("upstream " + std::to_string(i + 1) +
+                                     " does not report its counters");
         }
+        sum += counters->at(counter).to_number<std::uint64_t>();
     }
     return sum;
 }
--- a/testbed/fleet.hpp
+++ b/testbed/fleet.hpp
@@ -92,7 +92,8 @@
     void control_platform(std::string const& body);
     std::optional<boost::json::object> platform_counters();
 
-    // Sum of one counter over all upstreams.
+    // Sum of one counter over all upstreams. Waits for those that have
+    // crashed to listen again; throws when one does not.
     std::uint64_t sum_upstreams(std::string const& counter);
     // Ticket in force at a host, 0 when it does not answer.
     std::uint64_t ticket_in_force(std::size_t i);
