Count bytes to the platform and of served control streams

Cause: the control-traffic figures left out calls to the platform and the streams that a host serves for the control threads of others, which counted as its traffic. Change: HTTP clients can count their bytes, and the platform client does. A served peer connection that carries /peer/config or /peer/handover counts as control as a whole, with its framing, and no longer as traffic. The kinds served and platform are in control_bytes_total, in the status and in the measure control. The platform's bytes include claims.

--- a/measure/capacity.cpp
+++ b/measure/capacity.cpp
@@ -62,9 +62,7 @@
     return out;
 }
 
-// Bytes per second and host between two samples, by field of the status. The
-// bytes of streams that a host serves for others count as its traffic, not as
-// its control bytes.
+// Bytes per second and host between two samples, by field of the status.
 double mean_rate(std::vector<host_sample> const& before,
                  std::vector<host_sample> const& after, double seconds,
                  std::string const& field)
@@ -94,16 +92,19 @@
         return mean_rate(before, after, seconds, field);
     };
     auto const hosts = static_cast<double>(after.size());
-    auto const stream_sent = rate("stream_bytes_sent");
-    auto const stream_received = rate("stream_bytes_received");
-    return {{"cpu_core_share", cpu / seconds / hosts},
-            {"rss_mb", resident / 1e6 / hosts},
-            {"readers", readers},
-            {"stream_bytes_per_s", stream_sent},
-            {"stream_received_bytes_per_s", stream_received},
-            {"control_bytes_per_s", rate("probe_bytes_sent") + stream_sent},
-            {"control_received_bytes_per_s",
-             rate("probe_bytes_received") + stream_received}};
+    figures out{{"cpu_core_share", cpu / seconds / hosts},
+                {"rss_mb", resident / 1e6 / hosts},
+                {"readers", readers}};
+    for (std::string const direction : {"sent", "received"}) {
+        auto& sum = out["control_" + direction + "_bytes_per_s"];
+        for (std::string const kind :
+             {"probe", "stream", "served", "platform"}) {
+            auto const n = rate(kind + "_bytes_" + direction);
+            out[kind + "_" + direction + "_bytes_per_s"] = n;
+            sum += n;
+        }
+    }
+    return out;
 }
 
 // Two hosts are in two data centres, more are spread over three. The number
--- a/src/adapters/http/client_connection.cpp
+++ b/src/adapters/http/client_connection.cpp
@@ -55,8 +55,10 @@
     return out;
 }
 
-client_connection::client_connection(asio::io_context& io, std::size_t max_body)
-    : io_(io), socket_(io), timer_(io), max_body_(max_body)
+client_connection::client_connection(asio::io_context& io, std::size_t max_body,
+                                     std::shared_ptr<byte_count> bytes)
+    : io_(io), socket_(io), timer_(io), max_body_(max_body),
+      bytes_(std::move(bytes))
 {}
 
 void client_connection::connect(tcp::endpoint const& to, duration timeout,
@@ -148,6 +150,7 @@
         return;
     }
     sent_ = n > 0;
+    count_sent(n);
     if (n < request_.size()) {
         write_rest(n);
     }
@@ -159,12 +162,20 @@
     auto const data = std::make_shared<std::string>(request_.substr(from));
     asio::async_write(socket_, asio::buffer(*data),
                       [self = shared_from_this(),
-                       data](boost::system::error_code, std::size_t) {
+                       data](boost::system::error_code, std::size_t n) {
+                          self->count_sent(n);
                           // The pending read reports a broken connection; a
                           // server may also answer before it has read all.
                       });
 }
 
+void client_connection::count_sent(std::size_t n)
+{
+    if (bytes_) {
+        bytes_->sent += n;
+    }
+}
+
 void client_connection::read()
 {
     socket_.async_read_some(
@@ -200,6 +211,9 @@
 void client_connection::on_input(std::size_t n)
 {
     answer_started_ = true;
+    if (bytes_) {
+        bytes_->received += n;
+    }
     auto const room = buffer_.prepare(n);
     buffer_.commit(asio::buffer_copy(room, asio::buffer(input_, n)));
     boost::system::error_code ec;
--- a/src/adapters/http/client_connection.hpp
+++ b/src/adapters/http/client_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http/http_server.hpp"
+#include "adapters/net/byte_count.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -45,7 +46,9 @@
 class client_connection : public std::enable_shared_from_this<client_connection>
 {
 public:
-    client_connection(boost::asio::io_context& io, std::size_t max_body);
+    // bytes may be null: then nothing is counted.
+    client_connection(boost::asio::io_context& io, std::size_t max_body,
+                      std::shared_ptr<byte_count> bytes = nullptr);
 
     void connect(boost::asio::ip::tcp::endpoint const& to, duration timeout,
                  std::function<void(bool)> f);
@@ -83,6 +86,7 @@
     void begin_parser();
     void write_first();
     void write_rest(std::size_t from);
+    void count_sent(std::size_t n);
     void read();
     void on_read(boost::system::error_code ec, std::size_t n);
     void on_input(std::size_t n);
@@ -97,6 +101,7 @@
     boost::asio::ip::tcp::socket socket_;
     boost::asio::steady_timer timer_;
     std::size_t max_body_;
+    std::shared_ptr<byte_count> bytes_;
     std::array<char, 8192> input_; // of the pending read
     boost::beast::flat_buffer buffer_;
     std::optional<parser> parser_;
--- a/src/adapters/http/client_pool.cpp
+++ b/src/adapters/http/client_pool.cpp
@@ -89,8 +89,8 @@
 {
     while (connecting_ < waiting_.size() &&
            all_.size() < options_.max_connections) {
-        auto const it =
-            std::make_shared<client_connection>(io_, options_.max_body);
+        auto const it = std::make_shared<client_connection>(
+            io_, options_.max_body, options_.bytes);
         all_.insert(it);
         ++connecting_;
         it->on_closed([weak = weak_from_this(), ptr = it.get()] {
--- a/src/adapters/http/http_client.hpp
+++ b/src/adapters/http/http_client.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http/http_server.hpp"
+#include "adapters/net/byte_count.hpp"
 #include "core/base/error.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -20,6 +21,7 @@
     std::size_t max_connections = 8;
     duration connect_timeout = from_ms(1000);
     std::size_t max_body = 4 * 1024 * 1024; // bytes
+    std::shared_ptr<byte_count> bytes;      // counts here, unless it is null
 };
 
 // The request had no answer; sent tells whether a byte may have left.
--- a/src/adapters/peer/h2_session.cpp
+++ b/src/adapters/peer/h2_session.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <new>
 #include <utility>
 
@@ -257,7 +258,7 @@
         return;
     }
     received_ = true;
-    counters_->bytes_received += n;
+    count_received(n);
     if (keep_alive_.on_input() && hooks_.on_silence) {
         hooks_.on_silence(false);
     }
@@ -274,6 +275,31 @@
     read();
 }
 
+void h2_session::count_sent(std::size_t n)
+{
+    bytes_.sent += n;
+    counters_->bytes_sent += n;
+    counters_->control_bytes_sent += control_ ? n : 0;
+}
+
+void h2_session::count_received(std::size_t n)
+{
+    bytes_.received += n;
+    counters_->bytes_received += n;
+    counters_->control_bytes_received += control_ ? n : 0;
+}
+
+void h2_session::note_path(std::string_view path)
+{
+    auto const& all = options_.control_paths;
+    if (control_ || std::find(all.begin(), all.end(), path) == all.end()) {
+        return;
+    }
+    control_ = true;
+    counters_->control_bytes_sent += bytes_.sent;
+    counters_->control_bytes_received += bytes_.received;
+}
+
 // The write itself is posted, so that all frames submitted by the handlers
 // that are ready now go out together.
 void h2_session::schedule_write()
@@ -335,7 +361,7 @@
 void h2_session::on_written(boost::system::error_code ec, std::size_t n)
 {
     writing_ = false;
-    counters_->bytes_sent += n;
+    count_sent(n);
     if (closed_) {
         return;
     }
--- a/src/adapters/peer/h2_session.hpp
+++ b/src/adapters/peer/h2_session.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/net/byte_count.hpp"
 #include "adapters/peer/h2_stream.hpp"
 #include "adapters/peer/keep_alive.hpp"
 #include "adapters/peer/peer_link.hpp"
@@ -61,6 +62,8 @@
     // Sends one message; on a server the first one starts the answer.
     void send(h2_stream& stream, std::string_view message, bool last);
     void reset(h2_stream& stream, std::uint32_t error);
+    // Counts the connection as control traffic if its options name the path.
+    void note_path(std::string_view path);
     // No new streams; the connection closes when the open ones have ended.
     void go_away();
     // Closes the connection; open streams fail.
@@ -85,6 +88,8 @@
 
     void read();
     void on_read(boost::system::error_code ec, std::size_t n);
+    void count_sent(std::size_t n);
+    void count_received(std::size_t n);
     void schedule_write();
     void write();
     bool frame();
@@ -107,7 +112,9 @@
     std::unordered_map<std::int32_t, std::shared_ptr<h2_stream>> streams_;
     std::array<std::uint8_t, 16384> input_;
     std::string output_;
+    byte_count bytes_;
     keep_alive keep_alive_;
+    bool control_ = false; // its bytes are control traffic
     bool watching_ = false;
     bool write_posted_ = false;
     bool writing_ = false;
--- a/src/adapters/peer/peer_link.hpp
+++ b/src/adapters/peer/peer_link.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace snipemill {
 
@@ -20,6 +21,9 @@
     std::uint32_t max_streams = 10'000;         // concurrent, per connection
     std::uint32_t window = 4 * 1024 * 1024;     // flow control, bytes
     bool reuse_port = false; // several lanes listen on one port
+    // A served connection that carries one of these paths counts as control
+    // traffic as a whole.
+    std::vector<std::string> control_paths;
 };
 
 struct peer_counters
@@ -29,6 +33,8 @@
     std::uint64_t streams_failed = 0;
     std::uint64_t bytes_sent = 0;
     std::uint64_t bytes_received = 0;
+    std::uint64_t control_bytes_sent = 0;     // part of bytes_sent
+    std::uint64_t control_bytes_received = 0; // part of bytes_received
     std::uint64_t protocol_errors = 0;
 };
 
--- a/src/adapters/peer/server_stream.cpp
+++ b/src/adapters/peer/server_stream.cpp
@@ -46,6 +46,9 @@
 {
     if (name == ":path") {
         path_ = value;
+        if (auto const it = session_.lock()) {
+            it->note_path(value);
+        }
     }
     else if (name == ":method") {
         method_ = value;
--- a/src/adapters/platform/platform_calls.cpp
+++ b/src/adapters/platform/platform_calls.cpp
@@ -24,13 +24,15 @@
 constexpr std::string_view trial_target = "/objects/config%2Fhead";
 
 http_client_options client_options(platform_client_options const& options,
-                                   std::size_t connections)
+                                   std::size_t connections,
+                                   std::shared_ptr<byte_count> bytes)
 {
     return {.ip = options.ip,
             .port = options.port,
             .max_connections = connections,
             .connect_timeout = options.call_timeout,
-            .max_body = max_answer};
+            .max_body = max_answer,
+            .bytes = std::move(bytes)};
 }
 
 bool had_no_effect(unsigned status)
@@ -58,9 +60,9 @@
                options.breaker_max, std::random_device()()),
       trial_timer_(io),
       client_(std::make_unique<http_client>(
-          io, client_options(options, options.max_connections))),
+          io, client_options(options, options.max_connections, bytes))),
       watch_client_(std::make_unique<http_client>(
-          io, client_options(options, max_watches)))
+          io, client_options(options, max_watches, bytes)))
 {}
 
 bool platform_calls::allowed(std::string_view key, callback const& f)
--- a/src/adapters/platform/platform_calls.hpp
+++ b/src/adapters/platform/platform_calls.hpp
@@ -40,6 +40,7 @@
     bool reachable() const { return breaker_.closed(); }
 
     platform_counters counters;
+    std::shared_ptr<byte_count> const bytes = std::make_shared<byte_count>();
 
 private:
     bool allowed(std::string_view key, callback const& f);
--- a/src/adapters/platform/platform_client.cpp
+++ b/src/adapters/platform/platform_client.cpp
@@ -134,4 +134,9 @@
     return impl_->counters;
 }
 
+byte_count const& platform_client::bytes() const
+{
+    return *impl_->bytes;
+}
+
 } // namespace snipemill
--- a/src/adapters/platform/platform_client.hpp
+++ b/src/adapters/platform/platform_client.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/net/byte_count.hpp"
 #include "ports/platform_port.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -66,6 +67,8 @@
 
     bool reachable() const;
     platform_counters const& counters() const;
+    // Of all calls, claims among them.
+    byte_count const& bytes() const;
 
 private:
     class impl;
--- a/src/app/control_plane.hpp
+++ b/src/app/control_plane.hpp
@@ -54,6 +54,7 @@
     member_counters membership;
     platform_counters platform;
     peer_counters peer;
+    byte_count platform_bytes;      // of all calls, claims among them
     std::uint64_t member_lists = 0; // passed on to the configuration's spread
     std::uint64_t probe_bytes_sent = 0;
     std::uint64_t probe_bytes_received = 0;
--- a/src/app/control_services.cpp
+++ b/src/app/control_services.cpp
@@ -91,6 +91,7 @@
             .membership = members_->counters(),
             .platform = platform_.counters(),
             .peer = peers_.counters(),
+            .platform_bytes = platform_.bytes(),
             .member_lists = member_lists_,
             .probe_bytes_sent = probes_->bytes_sent(),
             .probe_bytes_received = probes_->bytes_received(),
--- a/src/app/host_metrics.cpp
+++ b/src/app/host_metrics.cpp
@@ -74,10 +74,12 @@
     return out;
 }
 
-family control_bytes(control_status const& control)
+family control_bytes(control_status const& control, lane_status const& traffic)
 {
     auto out = make_family("control_bytes_total",
-                           "Bytes of control traffic between hosts",
+                           "Bytes of control traffic, by kind: probes, "
+                           "streams to other hosts, streams served for other "
+                           "hosts, calls to the platform",
                            prometheus::MetricType::Counter);
     auto const add = [&](char const* kind, char const* direction,
                          std::uint64_t n) {
@@ -88,6 +90,10 @@
     add("probe", "received", control.probe_bytes_received);
     add("stream", "sent", control.peer.bytes_sent);
     add("stream", "received", control.peer.bytes_received);
+    add("served", "sent", traffic.peer.control_bytes_sent);
+    add("served", "received", traffic.peer.control_bytes_received);
+    add("platform", "sent", control.platform_bytes.sent);
+    add("platform", "received", control.platform_bytes.received);
     return out;
 }
 
@@ -137,7 +143,7 @@
     families.push_back(counter("members_declared_dead_total",
                                control.membership.declared_dead));
     families.push_back(platform_calls(control.platform));
-    families.push_back(control_bytes(control));
+    families.push_back(control_bytes(control, traffic));
     families.push_back(
         gauge("ready", "1 when the host may serve", control.ready ? 1 : 0));
     families.push_back(gauge("config_number", "Ticket in force",
--- a/src/app/host_status.cpp
+++ b/src/app/host_status.cpp
@@ -88,7 +88,8 @@
             {"not_sent_breaker", c.not_sent_breaker}};
 }
 
-json::object control_json(control_status const& control)
+json::object control_json(control_status const& control,
+                          lane_status const& traffic)
 {
     auto const& m = control.membership;
     return {{"probes_sent", m.probes_sent},
@@ -102,7 +103,11 @@
             {"probe_bytes_sent", control.probe_bytes_sent},
             {"probe_bytes_received", control.probe_bytes_received},
             {"stream_bytes_sent", control.peer.bytes_sent},
-            {"stream_bytes_received", control.peer.bytes_received}};
+            {"stream_bytes_received", control.peer.bytes_received},
+            {"served_bytes_sent", traffic.peer.control_bytes_sent},
+            {"served_bytes_received", traffic.peer.control_bytes_received},
+            {"platform_bytes_sent", control.platform_bytes.sent},
+            {"platform_bytes_received", control.platform_bytes.received}};
 }
 
 } // namespace
@@ -137,7 +142,7 @@
           {"submits", traffic.submits_in_flight},
           {"sub_requests", traffic.sub_requests_in_flight}}},
         {"platform", platform_json(control)},
-        {"control", control_json(control)},
+        {"control", control_json(control, traffic)},
         {"members", std::move(members)},
         {"upstreams", std::move(upstreams)},
         {"crashes", crashes_json(control.crashes)},
--- a/src/app/lane.cpp
+++ b/src/app/lane.cpp
@@ -58,6 +58,7 @@
 
     auto peer = peer_options(*env_.settings);
     peer.port = peer_port;
+    peer.control_paths = {"/peer/config", "/peer/handover"};
     peer_server_ = std::make_unique<peer_server>(
         io_, peer, [this](peer_request const& request) { on_peer(request); });
 }
@@ -130,8 +131,11 @@
     auto const& served = peer_server_->counters();
     s.peer.streams_served += served.streams_served;
     s.peer.streams_failed += served.streams_failed;
-    s.peer.bytes_sent += served.bytes_sent;
-    s.peer.bytes_received += served.bytes_received;
+    s.peer.bytes_sent += served.bytes_sent - served.control_bytes_sent;
+    s.peer.bytes_received +=
+        served.bytes_received - served.control_bytes_received;
+    s.peer.control_bytes_sent += served.control_bytes_sent;
+    s.peer.control_bytes_received += served.control_bytes_received;
     s.peer.protocol_errors += served.protocol_errors;
     s.bad_requests = callers_->bad_requests();
     s.queries_in_flight = query_.in_flight();
--- a/tests/adapters/peer/peer_link_test.cpp
+++ b/tests/adapters/peer/peer_link_test.cpp
@@ -136,6 +136,30 @@
     LONGS_EQUAL(1, server->counters().streams_served);
 }
 
+// Guards against streams served for other hosts' control threads that are
+// missing from the control traffic, and against traffic that counts as such.
+TEST(peer_link, counts_connections_with_control_paths_apart)
+{
+    start({.control_paths = {"/peer/config"}});
+    open("traffic");
+    CHECK(wait_served(1));
+    LONGS_EQUAL(0, server->counters().control_bytes_received);
+    auto const traffic = server->counters().bytes_received;
+
+    peer_client other(io, {});
+    other.open({host_id("h1"), "127.0.0.1", port}, "/peer/config", "control",
+               [](stream_event const&) {});
+    CHECK(wait_served(2));
+    served[1].responder->send("answer", true);
+    auto const& counters = server->counters();
+    CHECK(run_until(io, [&] {
+        return other.counters().bytes_received > 0 &&
+               counters.control_bytes_sent == other.counters().bytes_received &&
+               counters.control_bytes_received == other.counters().bytes_sent;
+    }));
+    CHECK(counters.bytes_received >= traffic + counters.control_bytes_received);
+}
+
 // Guards against flow control that stalls a message larger than the window.
 TEST(peer_link, passes_messages_larger_than_the_window)
 {
--- a/tests/adapters/platform/platform_client_test.cpp
+++ b/tests/adapters/platform/platform_client_test.cpp
@@ -139,6 +139,28 @@
     LONGS_EQUAL(1, client->counters().host_lists);
 }
 
+// Guards against calls whose bytes are missing from the control traffic.
+TEST(platform_client, counts_the_bytes_of_calls_and_watches)
+{
+    start();
+    auto const text = answer("200 OK", object);
+    client->get("config/head", keep());
+    auto const peer = wait_request();
+    peer->send(text);
+    CHECK(wait_results(1));
+    auto const called = client->bytes();
+    LONGS_EQUAL(peer->in.size(), called.sent);
+    LONGS_EQUAL(text.size(), called.received);
+
+    auto const listing = answer("200 OK", R"({"revision":92,"objects":[]})");
+    client->watch("config/head", 91, from_ms(1000), keep_listing());
+    auto const watch = wait_request();
+    watch->send(listing);
+    CHECK(run_until(io, [&] { return listings.size() == 1; }));
+    LONGS_EQUAL(called.sent + watch->in.size(), client->bytes().sent);
+    LONGS_EQUAL(called.received + listing.size(), client->bytes().received);
+}
+
 // Guards against a write reported as without effect although it may have
 // taken effect, and against ambiguous reads.
 TEST(platform_client, maps_failures_of_writes_and_reads)
