Let a retry go to the replica that refused a hedge

Cause: a hedge that finds its upstream saturated is refused without work, but the upstream then counted as tried. With two replicas, a first sub-request that was answered with draining had no replica left and the service was given up: coverage_too_low. drain.upstream_drains_by_itself failed once like this under sanitizers, where hedges are frequent. Ruled out: the retry budget, which starts with 10 tokens per engine and earns about 4/s at this rate.

Change: a retry leaves out only upstreams whose attempt was not a refused hedge. Before: the new unit test fails. After: all 59 query tests pass. The process test did not fail in 28 runs before the change, so that its link to this cause is not shown by a run.

--- a/src/core/query/attempt_table.cpp
+++ b/src/core/query/attempt_table.cpp
@@ -55,6 +55,22 @@
     return it != range.end() && it->upstream == upstream ? &*it : nullptr;
 }
 
+std::vector<upstream_id>
+attempt_table::tried_except_refused_hedges(std::uint32_t s) const
+{
+    auto const& service = services_[s];
+    std::vector<upstream_id> out;
+    for (std::size_t i = 0; i < service.tried_count; ++i) {
+        auto const& it = attempts_[service.attempts[i]];
+        auto const refused = it.state == attempt_state::reported &&
+                             it.outcome == sub_outcome::hedge_refused;
+        if (!refused) {
+            out.push_back(it.upstream);
+        }
+    }
+    return out;
+}
+
 void attempt_table::close(sub_attempt& attempt, attempt_state state)
 {
     assert(state != attempt_state::open);
--- a/src/core/query/attempt_table.hpp
+++ b/src/core/query/attempt_table.hpp
@@ -105,6 +105,11 @@
     service_progress& service(std::uint32_t s) { return services_[s]; }
     std::vector<service_progress> const& services() const { return services_; }
 
+    // Upstreams that a retry of the service must not go to. A refused hedge
+    // did no work: the upstream only had no free slot, and a retry may wait
+    // for one.
+    std::vector<upstream_id> tried_except_refused_hedges(std::uint32_t s) const;
+
     void close(sub_attempt& attempt, attempt_state state);
     void close_service(std::uint32_t s);
     bool all_closed() const { return closed_ == services_.size(); }
--- a/src/core/query/snapshot_run.cpp
+++ b/src/core/query/snapshot_run.cpp
@@ -378,17 +378,16 @@
                                      std::uint32_t s)
 {
     auto const& service = table_.service(s);
+    auto const tried = table_.tried_except_refused_hedges(s);
     auto const& failed = table_.attempt(service.last_attempt);
     auto const& owner = table_.batch(failed.batch).to;
     if (service.owner_lost &&
         target_planner::plan_other_owner(shared, failed, owner)) {
         return true;
     }
-    if (target_planner::plan_replica(shared, now,
-                                     {.view = view_,
-                                      .service = s,
-                                      .tried = service.upstreams(),
-                                      .extra = true})) {
+    if (target_planner::plan_replica(
+            shared, now,
+            {.view = view_, .service = s, .tried = tried, .extra = true})) {
         return true;
     }
     if (service.last == sub_outcome::not_owner &&
--- a/tests/core/query/query_recovery_test.cpp
+++ b/tests/core/query/query_recovery_test.cpp
@@ -155,6 +155,31 @@
     CHECK(w.take_answer().coverage.fraction == 1.0);
 }
 
+// Guards against a service that is given up because its other replica, which
+// is healthy, had refused a hedge for want of a free slot.
+TEST(query_recovery, replica_that_refused_a_hedge_still_gets_the_retry)
+{
+    for (bool const hedge_ends_first : {true, false}) {
+        query_world w({.services = 1, .hosts = 1, .group = with_hedges(1)});
+        auto const first = w.open_query(1, {}).front();
+        w.advance(from_ms(30));
+        auto const hedge = w.take<send_batch>().front();
+        if (hedge_ends_first) {
+            w.fail_targets(hedge, sub_outcome::hedge_refused);
+        }
+        w.fail_targets(first, sub_outcome::draining);
+        if (!hedge_ends_first) {
+            w.fail_targets(hedge, sub_outcome::hedge_refused);
+        }
+        auto const retries = w.take<send_batch>();
+        LONGS_EQUAL(1, retries.size());
+        CHECK(retries[0].batch.retry && !retries[0].batch.hedge);
+        CHECK(retries[0].batch.targets == hedge.batch.targets);
+        w.answer(retries[0]);
+        CHECK(w.take_answer().coverage.fraction == 1.0);
+    }
+}
+
 // Guards against new work for an upstream that a ticket has taken out while
 // the query was running.
 TEST(query_recovery, no_retry_or_hedge_at_an_upstream_that_became_unusable)
