Choose each service of the first step at random

Cause: after a loss in the first step a query went on to the service after the lost one, so that a normal query followed the crashing query to its next upstream and lost both of its tries. The describe test of the owner engine now waits until the upstream accepts work; it read past the end of a list.

--- a/src/core/query/query_run.cpp
+++ b/src/core/query/query_run.cpp
@@ -121,12 +121,12 @@
 {
     phase_ = run_phase::stepping;
     step_sent_ = 0;
-    auto const n = run_.table().services().size();
-    step_service_ = shared.random.below(static_cast<std::uint32_t>(n));
     send_step(shared, now, out);
 }
 
-// Services that were not tried go first. One that failed in the step is tried
+// A random service each time: queries that lost the same upstream to a crash
+// must not follow the query that crashed it to its next one. Services that
+// were not tried go first. One that failed in the step is tried
 // again only when there is no other, so that a query that crashes its upstreams
 // does not take down all replicas of one service.
 bool query_run::send_step(query_shared& shared, time_point now,
@@ -140,8 +140,12 @@
                           query_actions& out)
 {
     auto const n = static_cast<std::uint32_t>(run_.table().services().size());
+    if (n == 0) {
+        return false;
+    }
+    auto const start = shared.random.below(n);
     for (std::uint32_t i = 0; i < n; ++i) {
-        step_service_ = (step_service_ + 1) % n;
+        step_service_ = (start + i) % n;
         auto const& service = run_.table().service(step_service_);
         auto const wanted = postponed
                                 ? service.postponed
--- a/tests/core/owner/owner_engine_test.cpp
+++ b/tests/core/owner/owner_engine_test.cpp
@@ -309,9 +309,11 @@
 {
     owner_bench b;
     b.view({});
+    b.wait(from_ms(20));
     b.engine.on_status(b.now, upstream_id(1),
                        {.held = {{.version = index_version(7)}}}, b.out);
     b.batch(1, batch_of({1}));
+    LONGS_EQUAL(1, b.all<dispatch_query>().size());
     b.engine.on_sub_failed(
         b.now, b.all<dispatch_query>()[0].handle,
         {.outcome = sub_outcome::version_gone, .held = {index_version(8)}},
