Do not use up the retry at a host that is not the owner

Cause: a trace of the crash test showed a sub-request answered with not_owner, its retry at the other replica, which had crashed, and the service given up although the first replica was healthy. A request at a wrong owner does no work and tells nothing of the service.

Change: not_owner is followed by one reroute that does not count as the retry; the retry after it may go to the other owner of the upstream. Both take from the retry budget, so load stays bounded.

Before: the new unit test fails.

--- a/src/core/query/attempt_table.cpp
+++ b/src/core/query/attempt_table.cpp
@@ -71,6 +71,19 @@
     return out;
 }
 
+sub_attempt const* attempt_table::last_not_owned(std::uint32_t s) const
+{
+    auto const& service = services_[s];
+    for (std::size_t i = service.tried_count; i > 0; --i) {
+        auto const& it = attempts_[service.attempts[i - 1]];
+        auto const reported = it.state == attempt_state::reported;
+        if (reported && it.outcome == sub_outcome::not_owner) {
+            return &it;
+        }
+    }
+    return nullptr;
+}
+
 void attempt_table::close(sub_attempt& attempt, attempt_state state)
 {
     assert(state != attempt_state::open);
--- a/src/core/query/attempt_table.hpp
+++ b/src/core/query/attempt_table.hpp
@@ -52,14 +52,16 @@
 
 struct service_progress
 {
-    static constexpr std::size_t max_attempts = 3; // first, retry, hedge
+    // First, reroute, retry and hedge.
+    static constexpr std::size_t max_attempts = 4;
 
     std::array<upstream_id, max_attempts> tried{};
     std::array<std::uint32_t, max_attempts> attempts{}; // their positions
     std::uint8_t tried_count = 0;
     std::uint8_t open = 0; // attempts not yet closed
     bool merged = false;
-    bool closed = false; // merged, or nothing more will be tried
+    bool closed = false;   // merged, or nothing more will be tried
+    bool rerouted = false; // sent again after not_owner, which did no work
     bool retried = false;
     bool hedged = false;
     bool owner_lost = false; // last failure was that of the owner's stream
@@ -110,6 +112,9 @@
     // for one.
     std::vector<upstream_id> tried_except_refused_hedges(std::uint32_t s) const;
 
+    // Last attempt of the service that its receiver did not own, or null.
+    sub_attempt const* last_not_owned(std::uint32_t s) const;
+
     void close(sub_attempt& attempt, attempt_state state);
     void close_service(std::uint32_t s);
     bool all_closed() const { return closed_ == services_.size(); }
--- a/src/core/query/snapshot_run.cpp
+++ b/src/core/query/snapshot_run.cpp
@@ -362,14 +362,18 @@
                               std::uint32_t s)
 {
     auto& service = table_.service(s);
-    auto const allowed = !service.retried && !quarantined_ &&
+    // A request at a host that does not own its upstream tells nothing of the
+    // service, so it does not use up the retry.
+    auto const reroute =
+        service.last == sub_outcome::not_owner && !service.rerouted;
+    auto const allowed = (reroute || !service.retried) && !quarantined_ &&
                          now < in_.deadline && worth_a_retry(service.last) &&
                          shared.retries.tokens() >= 1;
     if (!allowed || !plan_retry_target(shared, now, s)) {
         return false;
     }
     shared.retries.take();
-    service.retried = true;
+    (reroute ? service.rerouted : service.retried) = true;
     ++shared.counters.retries;
     return true;
 }
@@ -390,8 +394,10 @@
             {.view = view_, .service = s, .tried = tried, .extra = true})) {
         return true;
     }
-    if (service.last == sub_outcome::not_owner &&
-        target_planner::plan_other_owner(shared, failed, owner)) {
+    auto const* const moved = table_.last_not_owned(s);
+    if (moved != nullptr &&
+        target_planner::plan_other_owner(shared, *moved,
+                                         table_.batch(moved->batch).to)) {
         return true;
     }
     // After the first step, the same replica again when there is no other.
--- a/tests/core/query/query_recovery_test.cpp
+++ b/tests/core/query/query_recovery_test.cpp
@@ -180,6 +180,26 @@
     }
 }
 
+// Guards against a service that is given up because one replica has just
+// changed its owner and the other one cannot be reached.
+TEST(query_recovery, request_at_a_wrong_owner_does_not_use_up_the_retry)
+{
+    query_world w({.services = 1, .hosts = 3});
+    auto const first = w.open_query(1, {}).front();
+    w.fail_targets(first, sub_outcome::not_owner);
+    auto const rerouted = w.take<send_batch>();
+    LONGS_EQUAL(1, rerouted.size());
+    CHECK(rerouted[0].batch.targets != first.batch.targets);
+    w.fail_targets(rerouted[0], sub_outcome::unreachable);
+    auto const retries = w.take<send_batch>();
+    LONGS_EQUAL(1, retries.size());
+    CHECK(retries[0].batch.targets == first.batch.targets);
+    CHECK(retries[0].to != first.to);
+    w.fail_targets(retries[0], sub_outcome::unreachable);
+    CHECK(w.take<send_batch>().empty());
+    CHECK(w.take_failure().code == errc::coverage_too_low);
+}
+
 // Guards against new work for an upstream that a ticket has taken out while
 // the query was running.
 TEST(query_recovery, no_retry_or_hedge_at_an_upstream_that_became_unusable)
