Wait in process tests until routing knows all hosts

Cause: routing follows the member list with a pause of up to 500 ms. The test fleet took itself for settled when the member lists were complete, so the first queries met hosts that knew no owner for upstreams of another data centre; a crash of the only reachable replica then cost the query its answer. A trace showed the replica without any owner (and no attempt at it). Ruled out: the retry budget (9.6 tokens left) and lost replicas of one service.

Change: the host's status tells how many hosts routing knows (routed_hosts), and the fleet waits for all of them.

--- a/src/app/host_status.cpp
+++ b/src/app/host_status.cpp
@@ -144,6 +144,8 @@
         {"platform", platform_json(control)},
         {"control", control_json(control, traffic)},
         {"members", std::move(members)},
+        {"routed_hosts",
+         control.view ? control.view->owners->hosts().size() : 0},
         {"upstreams", std::move(upstreams)},
         {"crashes", crashes_json(control.crashes)},
         {"counters", std::move(counters)}};
--- a/testbed/fleet.cpp
+++ b/testbed/fleet.cpp
@@ -409,7 +409,10 @@
         for (auto const& it : status->at("members").as_array()) {
             alive += it.as_object().at("state").as_string() == "alive" ? 1 : 0;
         }
-        if (alive != running) {
+        // Routing follows the member list after a pause; until then the host
+        // knows no owner for upstreams of other data centres.
+        auto const routed = status->at("routed_hosts").to_number<std::size_t>();
+        if (alive != running || routed != running) {
             return false;
         }
         owned += status->at("upstreams").as_array().size();
