--- a/measure/capacity.cpp
+++ b/measure/capacity.cpp
@@ -98,9 +98,12 @@
     for (std::string const direction : {"sent", "received"}) {
         auto const suffix = "_" + direction + "_bytes_per_s";
         auto& sum = out["control" + suffix];
-        for (std::string kind : {"probe", "stream", "served", "platform"}) {
-            auto const n = rate(kind + "_bytes_" + direction);
-            out[kind.append(suffix)] = n;
+        for (std::string const kind :
+             {"probe", "stream", "served", "platform"}) {
+            auto field = kind;
+            field.append("_bytes_").append(direction);
+            auto const n = rate(field);
+            out[kind + suffix] = n;
             sum += n;
         }
     }
