Check the pointer and the field of a held version in one condition

Cause: clang-tidy's analyzer follows the path on which CHECK fails and the test goes on, and reports a null dereference on it. Nothing else was reported. Conclusion: one condition for both; the check is as strict as before.

--- a/tests/core/query/snapshot_choice_test.cpp
+++ b/tests/core/query/snapshot_choice_test.cpp
@@ -116,8 +116,7 @@
     c.catalogue.on_description(w.now, position, it);
     auto const* const held =
         c.catalogue.upstream(position).find(index_version(8));
-    CHECK(held != nullptr);
-    CHECK(!held->known);
+    CHECK(held != nullptr && !held->known);
     LONGS_EQUAL(0, c.catalogue.find_map(0, index_version(8)).usable_count());
 }
 
