Notice upstreams that restart while they are idle

A trace of the stand-in showed the upstream restarting with no request in flight: no request was reset, the owner kept its limit of 6 and sent three requests in 16 ms to the cold upstream. Change: the pool reports when an upstream has closed all connections that were open for 100 ms or longer; the owner then starts cold and polls. An upstream in use that is not yet warm is polled every 100 ms, because a unit test showed that the limit can reach 3 between two polls. Unused upstreams are polled each second as before. Figures: unit tests of the owner, the pool and HTTP pass; both owner tests fail without the change. Conclusion: an idle restart is treated as any other restart.

--- a/src/adapters/http/client_connection.cpp
+++ b/src/adapters/http/client_connection.cpp
@@ -96,6 +96,7 @@
     }
     else {
         state_ = state::idle;
+        connected_at_ = std::chrono::steady_clock::now();
         read();
     }
     if (f) {
--- a/src/adapters/http/client_connection.hpp
+++ b/src/adapters/http/client_connection.hpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http/string_body.hpp>
 
 #include <array>
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -70,6 +71,11 @@
     // Whether a byte of the open exchange may have left.
     bool sent() const { return sent_; }
     std::uint64_t exchanges() const { return exchanges_; }
+    // time_point::max() until it is connected.
+    std::chrono::steady_clock::time_point connected_at() const
+    {
+        return connected_at_;
+    }
 
 private:
     enum class state : std::uint8_t
@@ -110,6 +116,8 @@
     std::function<void(exchange_result)> on_result_;
     std::function<void()> on_closed_;
     std::uint64_t exchanges_ = 0;
+    std::chrono::steady_clock::time_point connected_at_ =
+        std::chrono::steady_clock::time_point::max();
     state state_ = state::connecting;
     bool head_ = false;
     bool sent_ = false;
--- a/src/adapters/settings/host_settings.cpp
+++ b/src/adapters/settings/host_settings.cpp
@@ -120,6 +120,7 @@
     in.read("latency_jump_factor", out.latency_jump_factor, {1.1, 100});
     in.read("max_queue", queue, count_range);
     in.read_ms("status_interval_ms", out.status_interval, ms_range);
+    in.read_ms("ramp_status_interval_ms", out.ramp_status_interval, ms_range);
     in.read_ms("handover_hold_ms", out.handover_hold, ms_range);
     in.read("ramp", out.ramp);
     in.read("limit_slots", out.limit_slots);
--- a/src/adapters/upstream/upstream_entry.cpp
+++ b/src/adapters/upstream/upstream_entry.cpp
@@ -24,6 +24,10 @@
 // may take to arrive.
 constexpr duration deadline_margin = from_ms(50);
 
+// A server that restarts closes all connections within this time. Replacements
+// that were opened meanwhile do not tell that it is still the same process.
+constexpr auto restart_window = std::chrono::milliseconds(100);
+
 // Kept connections that a request tries before it fails.
 constexpr std::uint32_t max_attempts = 3;
 
@@ -41,8 +45,10 @@
 
 upstream_entry::upstream_entry(asio::io_context& io,
                                upstream_pool_options const& options,
-                               std::shared_ptr<upstream_counters> counters)
+                               std::shared_ptr<upstream_counters> counters,
+                               std::function<void()> on_connections_lost)
     : io_(io), options_(options), counters_(std::move(counters)),
+      on_connections_lost_(std::move(on_connections_lost)),
       control_(std::make_shared<upstream_control>(io, options, counters_)),
       backoff_timer_(io), deadline_timer_(io)
 {}
@@ -113,6 +119,7 @@
             return it;
         }
         drop(it);
+        on_closed_by_server(*it);
     }
     return nullptr;
 }
@@ -196,9 +203,28 @@
         // A server that accepts and closes would be tried in a loop.
         backoff_.failed();
     }
+    on_closed_by_server(*it);
     pump();
 }
 
+// A server that ends idle connections one by one leaves those in use and those
+// opened later; one that restarts leaves none. Connections with an open request
+// report the loss as a reset.
+void upstream_entry::on_closed_by_server(client_connection const& closed)
+{
+    auto const earlier = steady::now() - restart_window;
+    auto const old = [earlier](client_connection const& it) {
+        return it.connected_at() < earlier;
+    };
+    auto const remains =
+        std::any_of(all_.begin(), all_.end(), [&](connection_ptr const& it) {
+            return it->open() && old(*it);
+        });
+    if (old(closed) && !remains) {
+        on_connections_lost_();
+    }
+}
+
 void upstream_entry::close_surplus()
 {
     while (all_.size() > request_connections() && !idle_.empty()) {
--- a/src/adapters/upstream/upstream_entry.hpp
+++ b/src/adapters/upstream/upstream_entry.hpp
@@ -28,7 +28,8 @@
 public:
     upstream_entry(boost::asio::io_context& io,
                    upstream_pool_options const& options,
-                   std::shared_ptr<upstream_counters> counters);
+                   std::shared_ptr<upstream_counters> counters,
+                   std::function<void()> on_connections_lost);
 
     void configure(set_connections const& request);
     void add(upstream_job_ptr const& it);
@@ -51,6 +52,7 @@
     void wait_for_backoff();
     void on_connected(connection_ptr const& it, bool ok);
     void on_idle_closed(client_connection const* it);
+    void on_closed_by_server(client_connection const& it);
     void close_surplus();
     void fail_waiting();
     void run(upstream_job_ptr const& it, connection_ptr const& connection);
@@ -70,6 +72,7 @@
     boost::asio::io_context& io_;
     upstream_pool_options options_;
     std::shared_ptr<upstream_counters> counters_;
+    std::function<void()> on_connections_lost_;
     std::string address_;
     std::optional<boost::asio::ip::tcp::endpoint> endpoint_;
     std::size_t warm_ = 0;
--- a/src/adapters/upstream/upstream_pool.cpp
+++ b/src/adapters/upstream/upstream_pool.cpp
@@ -74,7 +74,8 @@
         remove_unused();
         auto& it = entries_[request.upstream];
         if (!it) {
-            it = std::make_shared<upstream_entry>(io_, options_, counters_);
+            it = std::make_shared<upstream_entry>(
+                io_, options_, counters_, report_loss(request.upstream));
         }
         it->configure(request);
     }
@@ -160,9 +161,27 @@
         }
     }
 
+    void watch_lost_connections(std::function<void(upstream_id)> f)
+    {
+        on_lost_ = std::move(f);
+    }
+
     upstream_counters const& counters() const { return *counters_; }
 
 private:
+    // Posted, because an entry may notice the loss inside a call of the pool.
+    std::function<void()> report_loss(upstream_id upstream)
+    {
+        return [this, upstream] {
+            boost::asio::post(io_, [weak = weak_from_this(), upstream] {
+                auto const self = weak.lock();
+                if (self && self->on_lost_) {
+                    self->on_lost_(upstream);
+                }
+            });
+        };
+    }
+
     void start(upstream_id upstream, slot_handle handle,
                upstream_job_ptr const& it)
     {
@@ -197,6 +216,7 @@
     std::shared_ptr<upstream_counters> counters_;
     std::unordered_map<upstream_id, std::shared_ptr<upstream_entry>> entries_;
     std::unordered_map<std::uint64_t, upstream_job_ptr> jobs_;
+    std::function<void(upstream_id)> on_lost_;
 };
 
 upstream_pool::upstream_pool(boost::asio::io_context& io,
@@ -237,6 +257,11 @@
     impl_->status(upstream, std::move(f));
 }
 
+void upstream_pool::watch_lost_connections(std::function<void(upstream_id)> f)
+{
+    impl_->watch_lost_connections(std::move(f));
+}
+
 upstream_counters const& upstream_pool::counters() const
 {
     return impl_->counters();
--- a/src/adapters/upstream/upstream_pool.hpp
+++ b/src/adapters/upstream/upstream_pool.hpp
@@ -48,6 +48,7 @@
     void cancel(cancel_dispatch const& request) override;
     void status(upstream_id upstream,
                 std::function<void(upstream_id, upstream_status)> f) override;
+    void watch_lost_connections(std::function<void(upstream_id)> f) override;
 
     upstream_counters const& counters() const;
 
--- a/src/app/lane.cpp
+++ b/src/app/lane.cpp
@@ -41,6 +41,11 @@
     peers_.watch_silence([this](host_id const& peer, bool silent) {
         on_peer_silence(peer, silent);
     });
+    pool_.watch_lost_connections([this](upstream_id upstream) {
+        with_owner([&](time_point now, owner_actions& out) {
+            owner_.on_connections_lost(now, upstream, out);
+        });
+    });
 }
 
 lane::~lane() = default;
--- a/src/core/owner/owned_upstream.cpp
+++ b/src/core/owner/owned_upstream.cpp
@@ -9,7 +9,7 @@
                                upstream_listing listed,
                                timer_id timer_of_upstream)
     : listing(std::move(listed)), limiter(settings, listing.slots),
-      queue(settings.max_queue), timer(timer_of_upstream)
+      queue(settings.max_queue), timer(timer_of_upstream), settings_(&settings)
 {}
 
 std::optional<limiter_state> owned_upstream::closed_state() const
@@ -56,12 +56,32 @@
 {
     ++in_flight;
     peak_ = std::max(peak_, in_flight);
+    used_since_poll_ = true;
 }
 
 void owned_upstream::on_polled(time_point now)
 {
     last_poll_ = now;
-    last_peak_ = std::exchange(peak_, in_flight);
+    used_since_poll_ = in_flight > 0;
+    // Reports lag. Polls in quick succession must not shorten the time over
+    // which the highest number in flight is known; half an interval allows for
+    // a regular poll that comes a little early.
+    if (now - peak_since_ >= settings_->status_interval / 2) {
+        peak_since_ = now;
+        last_peak_ = std::exchange(peak_, in_flight);
+    }
+}
+
+time_point owned_upstream::poll_due() const
+{
+    auto const state = limiter.state();
+    auto const ramping =
+        state == limiter_state::cold || state == limiter_state::warming;
+    if (next_poll == timer_queue::never || !last_poll_ || !ramping ||
+        !used_since_poll_) {
+        return next_poll;
+    }
+    return std::min(next_poll, *last_poll_ + settings_->ramp_status_interval);
 }
 
 std::uint32_t owned_upstream::excess_load(std::uint32_t reported) const
--- a/src/core/owner/owned_upstream.hpp
+++ b/src/core/owner/owned_upstream.hpp
@@ -45,8 +45,10 @@
     upstream_gauge gauge() const;
 
     void on_dispatched();
-    // Starts a new period of the highest number in flight.
     void on_polled(time_point now);
+    // The regular poll, or an earlier one while the upstream is used and not
+    // yet warm.
+    time_point poll_due() const;
     // Requests that the upstream reports beyond those that this host can have
     // had in flight when the report was made.
     std::uint32_t excess_load(std::uint32_t reported) const;
@@ -85,9 +87,12 @@
     void list_held_versions();
 
     std::optional<time_point> last_poll_;
+    owner_engine_settings const* settings_;
+    bool used_since_poll_ = false;
     time_point draining_since_{};
-    std::uint32_t peak_ = 0;      // in flight since the last poll
-    std::uint32_t last_peak_ = 0; // in flight in the poll period before
+    time_point peak_since_{};
+    std::uint32_t peak_ = 0;      // highest in flight since peak_since_
+    std::uint32_t last_peak_ = 0; // highest in flight in the period before
 };
 
 } // namespace snipemill
--- a/src/core/owner/owner_engine.cpp
+++ b/src/core/owner/owner_engine.cpp
@@ -84,6 +84,12 @@
     impl_->on_status(now, upstream, status, out);
 }
 
+void owner_engine::on_connections_lost(time_point now, upstream_id upstream,
+                                       owner_actions& out)
+{
+    impl_->on_connections_lost(now, upstream, out);
+}
+
 void owner_engine::set_quarantine(std::vector<fingerprint> const& prints)
 {
     impl_->dispatcher.set_quarantine(prints);
--- a/src/core/owner/owner_engine.hpp
+++ b/src/core/owner/owner_engine.hpp
@@ -22,8 +22,12 @@
     double latency_jump_factor = 4.0;           // over the learned quantile
     std::size_t max_queue = 64; // waiting sub-requests per upstream
     duration status_interval = from_ms(1000); // between status polls
-    duration handover_hold = from_ms(3000);   // an upstream newly owned after
-                                              // a crash keeps a limit of 1
+    // The same for an upstream that is used before it is warm. The limit takes
+    // at least eight cold starts, 160 ms, to grow: a report that the upstream
+    // is still starting comes before that.
+    duration ramp_status_interval = from_ms(100);
+    duration handover_hold = from_ms(3000); // an upstream newly owned after
+                                            // a crash keeps a limit of 1
     bool ramp = true;        // off only to measure what the ramp prevents
     bool limit_slots = true; // off only to measure what ownership prevents
 };
@@ -202,6 +206,9 @@
                           submit_result result, owner_actions& out);
     void on_status(time_point now, upstream_id upstream,
                    upstream_status const& status, owner_actions& out);
+    // The upstream closed all its connections at about the same time.
+    void on_connections_lost(time_point now, upstream_id upstream,
+                             owner_actions& out);
     // Fingerprints that must not be sent to any upstream.
     void set_quarantine(std::vector<fingerprint> const& prints);
     void on_timer(time_point now, owner_actions& out);
--- a/src/core/owner/owner_engine_impl.cpp
+++ b/src/core/owner/owner_engine_impl.cpp
@@ -264,6 +264,22 @@
     work.send_parts(now, out);
 }
 
+// No request was reset, so the upstream was idle when it restarted. Without
+// this it would count as warm until a request fails or the next poll.
+void owner_engine::impl::on_connections_lost(time_point now,
+                                             upstream_id upstream,
+                                             owner_actions& out)
+{
+    auto* const u = roster.find(upstream);
+    if (u == nullptr || u->role != ownership_role::first) {
+        return;
+    }
+    dispatcher.health().turn_cold(now, *u);
+    poll(now, *u, out);
+    dispatcher.pump(now, *u, out);
+    work.send_parts(now, out);
+}
+
 duration owner_engine::impl::poll_interval() const
 {
     return std::max(settings.status_interval, duration(1));
@@ -281,8 +297,10 @@
 {
     auto& u = *roster.find(id);
     u.timer_at = timer_queue::never;
-    if (now >= u.next_poll) {
+    if (now >= u.poll_due()) {
         poll(now, u, out);
+    }
+    if (now >= u.next_poll) {
         // Polls that were missed while the process was paused are left out.
         auto const interval = poll_interval();
         auto const next = u.next_poll + interval;
--- a/src/core/owner/owner_engine_impl.hpp
+++ b/src/core/owner/owner_engine_impl.hpp
@@ -27,6 +27,8 @@
                      describe_request const& request, owner_actions& out);
     void on_status(time_point now, upstream_id upstream,
                    upstream_status const& status, owner_actions& out);
+    void on_connections_lost(time_point now, upstream_id upstream,
+                             owner_actions& out);
     void on_timer(time_point now, owner_actions& out);
     std::vector<upstream_gauge> gauges() const;
 
--- a/src/core/owner/upstream_dispatcher.cpp
+++ b/src/core/owner/upstream_dispatcher.cpp
@@ -469,7 +469,7 @@
 
 void upstream_dispatcher::schedule(owned_upstream& u)
 {
-    auto at = u.next_poll;
+    auto at = u.poll_due();
     if (!u.queue.empty()) {
         at = std::min(at, u.limiter.next_start(u.in_flight).value_or(at));
     }
--- a/src/ports/upstream_port.hpp
+++ b/src/ports/upstream_port.hpp
@@ -30,6 +30,9 @@
     virtual void
     status(upstream_id upstream,
            std::function<void(upstream_id, upstream_status)> f) = 0;
+    // f is called when an upstream has closed all its connections at about the
+    // same time, as it does when it restarts between two requests.
+    virtual void watch_lost_connections(std::function<void(upstream_id)> f) = 0;
 };
 
 } // namespace snipemill
--- a/tests/adapters/upstream/upstream_pool_fixture.hpp
+++ b/tests/adapters/upstream/upstream_pool_fixture.hpp
@@ -5,6 +5,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <chrono>
 #include <memory>
 #include <optional>
 #include <set>
@@ -165,6 +166,11 @@
         io.restart();
         io.poll();
     }
+    void wait_ms(int n)
+    {
+        io.restart();
+        io.run_for(std::chrono::milliseconds(n));
+    }
     void teardown() override
     {
         pool.reset();
--- a/tests/adapters/upstream/upstream_pool_test.cpp
+++ b/tests/adapters/upstream/upstream_pool_test.cpp
@@ -92,6 +92,27 @@
     CHECK(is_good(results[1]));
 }
 
+// Guards against an upstream that restarts between two requests without notice,
+// and against one that ends a single idle connection being taken for it.
+TEST(upstream_pool, reports_that_all_connections_were_closed_at_once)
+{
+    start(2, 4);
+    std::vector<upstream_id> lost;
+    pool->watch_lost_connections(
+        [&lost](upstream_id id) { lost.push_back(id); });
+    CHECK(wait_peers(2));
+    wait_ms(150); // replacements of the last 100 ms do not count
+    server.peers[0]->close();
+    CHECK(wait_peers(3));
+    wait_ms(150);
+    CHECK(lost.empty());
+    server.peers[1]->close();
+    server.peers[2]->close();
+    CHECK(run_until(io, [&] { return !lost.empty(); }));
+    CHECK(lost == std::vector{upstream_id(1)});
+    CHECK(wait_peers(5));
+}
+
 // Guards against a status poll that waits for a request or counts against the
 // warm connections.
 TEST(upstream_pool, status_uses_the_control_connection)
--- a/tests/core/owner/owner_overload_test.cpp
+++ b/tests/core/owner/owner_overload_test.cpp
@@ -2,7 +2,11 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
+#include <cstddef>
+#include <deque>
 #include <utility>
+#include <variant>
 #include <vector>
 
 using namespace snipemill;
@@ -75,10 +79,108 @@
     std::vector<std::pair<slot_handle, time_point>> running_;
 };
 
+// An upstream that serves one request at a time, each in 50 ms, and reports
+// that it starts until it has served 20.
+class starting_upstream
+{
+public:
+    explicit starting_upstream(owner_bench& b) : b_(b) {}
+
+    // Sends a request every 30 ms until the upstream has started; returns the
+    // highest number in flight until then.
+    std::size_t most_in_flight()
+    {
+        std::size_t most = 0;
+        for (int ms = 0; served_ < 20 && ms < 10'000; ++ms) {
+            if (ms % 30 == 0) {
+                b_.batch(next_peer_++, batch_with(from_ms(500)));
+            }
+            b_.wait(from_ms(1));
+            take_actions();
+            serve();
+            most = std::max(most, waiting_.size());
+        }
+        return most;
+    }
+    int served() const { return served_; }
+
+private:
+    void take_actions()
+    {
+        auto const actions = std::exchange(b_.out, {});
+        for (auto const& it : actions) {
+            if (auto const* a = std::get_if<dispatch_query>(&it)) {
+                waiting_.push_back(a->handle);
+            }
+            else if (std::holds_alternative<poll_status>(it)) {
+                b_.engine.on_status(b_.now, upstream_id(1), {.starting = true},
+                                    b_.out);
+            }
+        }
+    }
+    void serve()
+    {
+        if (waiting_.empty() || ++worked_ms_ < 50) {
+            return;
+        }
+        worked_ms_ = 0;
+        b_.engine.on_sub_answer(b_.now, waiting_.front(), answer_of(1, "k", 1),
+                                b_.out);
+        waiting_.pop_front();
+        ++served_;
+    }
+
+    owner_bench& b_;
+    peer_handle next_peer_ = 1;
+    std::deque<slot_handle> waiting_;
+    int worked_ms_ = 0;
+    int served_ = 0;
+};
+
 } // namespace
 
 TEST_GROUP(owner_overload){};
 
+// Guards against a limit that grows between two regular polls although the
+// upstream is still starting (R3): three requests collapsed it.
+TEST(owner_overload, upstream_that_reports_starting_gets_two_requests_at_most)
+{
+    for (int phase = 0; phase < 1000; phase += 50) {
+        owner_bench b;
+        b.view({.upstreams = 0}); // upstreams of a first view are held
+        b.view({.upstreams = 1, .slots = 6});
+        b.wait(from_ms(phase));
+        starting_upstream upstream(b);
+        CHECK(upstream.most_in_flight() <= 2);
+        LONGS_EQUAL(20, upstream.served());
+    }
+}
+
+// Guards against an upstream that restarts while it is idle and is then sent as
+// many requests as a warm one (R3).
+TEST(owner_overload, upstream_that_closed_all_connections_is_cold)
+{
+    owner_bench b;
+    b.warm_up({.upstreams = 1});
+    CHECK(b.gauge(1).condition == upstream_condition::warm);
+    b.engine.on_connections_lost(b.now, upstream_id(1), b.out);
+    CHECK(b.gauge(1).condition == upstream_condition::cold);
+    LONGS_EQUAL(1, b.all<poll_status>().size());
+    b.wait(from_ms(20));
+    b.batch(1, batch_of({1}));
+    b.batch(2, batch_of({1}));
+    LONGS_EQUAL(1, b.all<dispatch_query>().size());
+}
+
+// Guards against polls in quick succession of an upstream that nobody uses.
+TEST(owner_overload, unused_cold_upstream_is_polled_at_the_regular_interval)
+{
+    owner_bench b;
+    b.view({.upstreams = 1});
+    b.wait(from_ms(5000));
+    LONGS_EQUAL(6, b.all<poll_status>().size());
+}
+
 // Guards against a slot that is used for a request which is cancelled before
 // its answer can arrive.
 TEST(owner_overload, waiting_request_without_time_for_an_answer_is_refused)
