Refuse connections in the submit measure and check "not run" keys

Cause: no key of the measure ended as "not run", so its false_not_run of 0 had nothing to test.

Change: the control refuse_connections_ms closes the listener and connections of a stand-in upstream for a time. A key counts as such when all its requests were refused as not_run, or as in_progress because of the former; before, one in_progress made it unknown, so the check is stricter in the process tests too.

--- a/standins/common/http_server.cpp
+++ b/standins/common/http_server.cpp
@@ -69,6 +69,9 @@
 
 void http_server::open()
 {
+    if (acceptor_.is_open()) {
+        return;
+    }
     tcp::endpoint const at(boost::asio::ip::address_v4::loopback(),
                            options_.port);
     acceptor_.open(at.protocol());
--- a/standins/common/http_server.hpp
+++ b/standins/common/http_server.hpp
@@ -81,7 +81,7 @@
 
     // Closes the listener and every connection but those for /control.
     void close();
-    // Listens again on the same port.
+    // Listens again on the same port, unless it does already.
     void open();
     // Closes every connection but those for /control.
     void drop_connections();
--- a/standins/upstream/control.cpp
+++ b/standins/upstream/control.cpp
@@ -92,6 +92,9 @@
         else if (name == "close_execute") {
             ok = read_fault(v, execute_fault_);
         }
+        else if (name == "refuse_connections_ms") {
+            ok = refuse_connections(v);
+        }
         else if (name == "draining") {
             draining_ = on;
         }
@@ -117,6 +120,17 @@
     return true;
 }
 
+bool upstream::refuse_connections(json::value const& v)
+{
+    double ms = 0;
+    if (!read_number(v, ms)) {
+        return false;
+    }
+    ++counters_.listener_closed;
+    stop_listening(ms);
+    return true;
+}
+
 bool upstream::set_number(std::string_view name, json::value const& v)
 {
     if (name == "latency_ms") {
@@ -175,6 +189,7 @@
     out["closed_before"] = counters_.closed_before;
     out["closed_during"] = counters_.closed_during;
     out["closed_after"] = counters_.closed_after;
+    out["listener_closed"] = counters_.listener_closed;
     out["cancelled"] = counters_.cancelled;
     out["shed"] = counters_.shed;
     out["expired"] = counters_.expired;
--- a/standins/upstream/counters.hpp
+++ b/standins/upstream/counters.hpp
@@ -17,6 +17,7 @@
     std::uint64_t closed_before = 0; // connections, by close_execute
     std::uint64_t closed_during = 0;
     std::uint64_t closed_after = 0;
+    std::uint64_t listener_closed = 0; // by refuse_connections_ms
     std::uint64_t cancelled = 0;
     std::uint64_t shed = 0;
     std::uint64_t expired = 0;
--- a/standins/upstream/upstream.cpp
+++ b/standins/upstream/upstream.cpp
@@ -80,7 +80,7 @@
                .setup_delay = std::chrono::microseconds(
                    static_cast<std::int64_t>(settings_.connect_ms * 1000))},
               [this](exchange_ptr const& e) { on_request(e); }),
-      restart_timer_(io)
+      listen_timer_(io)
 {}
 
 void upstream::on_request(exchange_ptr const& e)
@@ -212,12 +212,19 @@
 {
     ++counters_.crashes;
     capacity_.clear();
+    capacity_.turn_cold();
+    stop_listening(settings_.restart_ms);
+}
+
+// Closes the listener and every connection but those for /control. A second
+// call replaces the time of the first.
+void upstream::stop_listening(double ms)
+{
     server_.close();
-    restart_timer_.expires_after(std::chrono::microseconds(
-        static_cast<std::int64_t>(settings_.restart_ms * 1000)));
-    restart_timer_.async_wait([this](boost::system::error_code ec) {
+    listen_timer_.expires_after(
+        std::chrono::microseconds(static_cast<std::int64_t>(ms * 1000)));
+    listen_timer_.async_wait([this](boost::system::error_code ec) {
         if (!ec) {
-            capacity_.turn_cold();
             server_.open();
         }
     });
--- a/standins/upstream/upstream.hpp
+++ b/standins/upstream/upstream.hpp
@@ -39,10 +39,12 @@
     void submit(exchange_ptr const& e, bool crashes,
                 std::function<void()> start, std::function<void()> finish);
     void crash();
+    void stop_listening(double ms);
     void restart();
     void cancel(exchange& e);
     void on_control(exchange_ptr const& e);
     bool set_controls(boost::json::object const& o);
+    bool refuse_connections(boost::json::value const& v);
     bool set_number(std::string_view name, boost::json::value const& v);
     void reset_counters();
 
@@ -60,7 +62,7 @@
     capacity capacity_;
     index index_;
     http_server server_;
-    boost::asio::steady_timer restart_timer_;
+    boost::asio::steady_timer listen_timer_;
     std::map<std::string, std::uint64_t> executed_; // by key
     std::string status_;
     clock_type::time_point status_at_;
--- a/testbed/submit_load.cpp
+++ b/testbed/submit_load.cpp
@@ -96,10 +96,13 @@
 struct key_outcome
 {
     bool answered = false;
+    bool told_not_run = false;
     bool may_have_run = false;
     bool changed = false;
     unsigned status = 0;
     std::string body;
+
+    bool not_run() const { return told_not_run && !may_have_run; }
 };
 
 std::map<std::string, key_outcome>
@@ -108,7 +111,9 @@
     std::map<std::string, key_outcome> out;
     for (auto const& it : samples) {
         auto& key = out[it.key];
-        key.may_have_run |= it.kind != submit_kind::not_run;
+        auto const not_run = it.kind == submit_kind::not_run;
+        key.told_not_run |= not_run;
+        key.may_have_run |= !not_run && it.code != "in_progress";
         if (it.kind != submit_kind::answered) {
             continue;
         }
@@ -127,22 +132,27 @@
 {
     auto const plan = plan_of(options);
     std::vector<submit_sample> samples(plan.size());
-    run_requests({.targets = &options.targets,
-                  .count = plan.size(),
-                  .timeout = answer_timeout,
-                  .at = [&](std::size_t i) { return plan[i].at; },
-                  .target = [&](std::size_t i) { return plan[i].target; },
-                  .make =
-                      [&](std::size_t i, std::chrono::milliseconds elapsed) {
-                          if (options.before) {
-                              options.before(elapsed);
-                          }
-                          auto request = request_for(options, plan[i].key);
-                          samples[i].key = request.headers.front().second;
-                          return request;
-                      },
-                  .done = [&](std::size_t i, http_result const& result,
-                              double) { read_result(result, samples[i]); }});
+    run_requests(
+        {.targets = &options.targets,
+         .count = plan.size(),
+         .timeout = answer_timeout,
+         .at = [&](std::size_t i) { return plan[i].at; },
+         .target = [&](std::size_t i) { return plan[i].target; },
+         .make =
+             [&](std::size_t i, std::chrono::milliseconds elapsed) {
+                 if (options.before) {
+                     options.before(elapsed);
+                 }
+                 auto request = request_for(options, plan[i].key);
+                 samples[i].key = request.headers.front().second;
+                 samples[i].ended_ms = static_cast<double>(elapsed.count());
+                 return request;
+             },
+         .done =
+             [&](std::size_t i, http_result const& result, double latency_ms) {
+                 samples[i].ended_ms += latency_ms;
+                 read_result(result, samples[i]);
+             }});
     return samples;
 }
 
@@ -170,30 +180,38 @@
         ++out.keys;
         out.ran += n > 0 ? 1 : 0;
         out.duplicates += n > 1 ? 1 : 0;
-        out.false_not_run += !it.may_have_run && n > 0 ? 1 : 0;
+        out.false_not_run += it.not_run() && n > 0 ? 1 : 0;
         out.changed_answers += it.changed ? 1 : 0;
         out.false_answers += it.answered && n == 0 ? 1 : 0;
         out.answered += it.answered ? 1 : 0;
-        out.unknown += !it.answered && it.may_have_run ? 1 : 0;
-        out.not_run += it.may_have_run ? 0 : 1;
+        out.unknown += !it.answered && !it.not_run() ? 1 : 0;
+        out.not_run += it.not_run() ? 1 : 0;
     }
     return out;
 }
 
-std::uint64_t count_lost_answers(std::vector<submit_sample> const& first,
-                                 std::vector<submit_sample> const& later)
+std::vector<std::string> lost_answers(std::vector<submit_sample> const& first,
+                                      std::vector<submit_sample> const& later)
 {
     auto const before = outcomes_of(first);
     auto const after = outcomes_of(later);
-    std::uint64_t n = 0;
+    std::vector<std::string> out;
     for (auto const& [key, it] : before) {
         auto const found = after.find(key);
         auto const same = found != after.end() && found->second.answered &&
                           found->second.body == it.body &&
                           found->second.status == it.status;
-        n += it.answered && !same ? 1 : 0;
+        if (it.answered && !same) {
+            out.push_back(key);
+        }
     }
-    return n;
+    return out;
+}
+
+std::uint64_t count_lost_answers(std::vector<submit_sample> const& first,
+                                 std::vector<submit_sample> const& later)
+{
+    return lost_answers(first, later).size();
 }
 
 } // namespace testbed
--- a/tests/process/submit_test.cpp
+++ b/tests/process/submit_test.cpp
@@ -3,6 +3,8 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <thread>
+
 using namespace testbed;
 using std::chrono::milliseconds;
 
@@ -129,6 +131,29 @@
     check_closing_upstreams("after");
 }
 
+// Guards against "not run" for a key that ran, and against a key that cannot be
+// sent again after it was refused.
+TEST(submit, upstreams_that_refuse_connections)
+{
+    fleet f(submit_fleet());
+    f.control_upstreams(R"({"refuse_connections_ms":5000})");
+    // Hosts notice that their idle connections were closed.
+    std::this_thread::sleep_for(milliseconds(100));
+    auto load = keyed_load(f);
+    load.keys = 100;
+    auto samples = run_submits(load);
+    CHECK(f.sum_upstreams("listener_closed") > 0);
+    auto const at_first = check_safe(f, samples);
+    LONGS_EQUAL(load.keys, at_first.not_run);
+    LONGS_EQUAL(0, at_first.ran);
+    // Connections are tried again after a pause of up to 2 s.
+    CHECK(wait_until([&] {
+        append(samples, send_again(f, load));
+        return check_safe(f, samples).answered == load.keys;
+    }));
+    LONGS_EQUAL(load.keys, check_safe(f, samples).ran);
+}
+
 // Guards against a key that is taken over while the killed host's attempt may
 // still run.
 TEST(submit, a_host_that_is_killed)
