Write an outcome again for longer than an outage of the platform

Cause: an outcome that could not be written to its claim was written again twice, 0.5 s and 1 s after the first write. After five failed calls the platform client's circuit breaker refuses calls for 0.75 to 1.25 s, so an outage of 0.3 s could outlast all three writes. The caller had its answer, the host lived, and the claim stayed "claimed": resends got in_progress for 26 h.

The new unit test records_the_outcome_after_a_short_outage fails without the change. Conclusion: a claim whose host lives gets its outcome after a short outage. The answer is not held back for it, as before.

--- a/src/core/submit/submit_engine_impl.cpp
+++ b/src/core/submit/submit_engine_impl.cpp
@@ -19,8 +19,11 @@
 // maximum, because every read counts against the platform's rate.
 constexpr duration read_pause_unit = from_ms(50);
 constexpr std::uint32_t max_read_doublings = 4;
-constexpr duration record_pause = from_ms(500);
-constexpr std::uint32_t max_records = 3;
+// Pause before the outcome is written again; doubles with every write. With 3
+// writes in 1 s, claims of a host that lived stayed "claimed" after an outage
+// of 0.3 s, because its platform client refuses calls for up to 1.25 s then.
+constexpr duration record_pause_unit = from_ms(500);
+constexpr std::uint32_t max_records = 5;
 constexpr duration max_deadline = from_ms(3'600'000);
 
 claim_state state_of(submit_outcome const& outcome)
@@ -385,7 +388,7 @@
         return;
     }
     run.phase = submit_phase::record_pause;
-    run.resume = now + record_pause;
+    run.resume = now + record_pause_unit * (1U << (run.records - 1));
     runs.schedule(run);
 }
 
--- a/tests/core/submit/submit_engine_test.cpp
+++ b/tests/core/submit/submit_engine_test.cpp
@@ -156,6 +156,57 @@
     CHECK(is(b.answer(), errc::ok, run_state::ran));
 }
 
+// Guards against a claim that keeps its key blocked although its outcome is
+// known: the platform client refuses calls for up to 1.25 s after a short
+// outage, and each write in that time fails.
+TEST(submit_engine, records_the_outcome_after_a_short_outage)
+{
+    submit_bench b;
+    b.submit("k");
+    b.serve_put();
+    b.result(submit_answered{200, "first"});
+    b.answer_put(claim_write::not_sent);
+    CHECK(is(b.answer(), errc::ok, run_state::ran));
+    for (int ms = 50; ms <= 10'000; ms += 50) {
+        b.wait(from_ms(50));
+        if (!b.has<put_claim>()) {
+            continue;
+        }
+        if (ms <= 1250) {
+            b.answer_put(claim_write::not_sent);
+        }
+        else {
+            b.serve_put();
+        }
+    }
+    LONGS_EQUAL(0, b.engine.in_flight());
+    b.submit("k");
+    b.serve_put();
+    b.serve_get();
+    CHECK(is(b.answer(), errc::ok, run_state::ran));
+    CHECK(b.repeated);
+    CHECK(b.body == "first");
+}
+
+// Guards against writes of an outcome that go on for ever.
+TEST(submit_engine, gives_up_an_outcome_that_cannot_be_recorded)
+{
+    submit_bench b;
+    b.submit("k");
+    b.serve_put();
+    b.result(submit_answered{});
+    int writes = 0;
+    for (int ms = 0; ms <= 12'000; ms += 50) {
+        if (b.has<put_claim>()) {
+            b.answer_put(claim_write::not_sent);
+            ++writes;
+        }
+        b.wait(from_ms(50));
+    }
+    LONGS_EQUAL(5, writes);
+    LONGS_EQUAL(0, b.engine.in_flight());
+}
+
 // Guards against a second run after a byte may have reached an upstream (R7).
 TEST(submit_engine, does_not_retry_after_a_byte_may_have_been_sent)
 {
--- a/tests/core/submit/submit_fixture.hpp
+++ b/tests/core/submit/submit_fixture.hpp
@@ -2,6 +2,7 @@
 
 #include "core/submit/submit_engine.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -107,6 +108,13 @@
         }
         return std::nullopt;
     }
+    template <class T>
+    bool has() const
+    {
+        return std::any_of(out.begin(), out.end(), [](auto const& it) {
+            return std::holds_alternative<T>(it);
+        });
+    }
     // The platform executes the next write and gives a clear answer.
     void serve_put()
     {
