Share the targets and checks of a fleet under load

measure/load.cpp and the drain test each held targets_outside, all_serve and a reader of one counter; the drain test spelled out ready_targets in place.

They are now one set of functions in testbed/fleet_work. The four functions were in the code eight times and are there four times. The reader throws, as the one of the measure did, where the drain test had a CHECK: an upstream without counters still fails the program and is now named, but the exception ends it, so the tests after it do not run. The four drain tests pass (28 s).

--- a/measure/load.cpp
+++ b/measure/load.cpp
@@ -1,6 +1,7 @@
 #include "measure/measure.hpp"
 #include "testbed/background_load.hpp"
 #include "testbed/fleet.hpp"
+#include "testbed/fleet_work.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -24,15 +25,6 @@
 // Answers state what they lack instead of being refused for it.
 std::string const any_coverage = "deadline_ms: 2000, min_coverage: 0, ";
 
-std::int64_t counter(fleet& f, std::size_t upstream, char const* name)
-{
-    auto const all = f.upstream_counters(upstream);
-    if (!all) {
-        throw std::runtime_error("an upstream gives no counters");
-    }
-    return all->at(name).to_number<std::int64_t>();
-}
-
 double sum(fleet& f, char const* name)
 {
     return static_cast<double>(f.sum_upstreams(name));
@@ -109,48 +101,15 @@
             .upstream_arguments = {"--latency-ms", "10"}};
 }
 
-// Hosts that are ready, as a balancer sees them.
-std::vector<load_target> ready_targets(fleet& f)
-{
-    std::vector<load_target> out;
-    for (std::size_t i = 0; i < f.hosts().size(); ++i) {
-        if (f.ready(i)) {
-            out.push_back({.port = f.hosts()[i].caller_port});
-        }
-    }
-    return out;
-}
-
-std::vector<load_target> targets_outside(fleet& f, std::string const& dc)
-{
-    std::vector<load_target> out;
-    for (auto const& it : f.hosts()) {
-        if (it.data_centre != dc) {
-            out.push_back({.port = it.caller_port});
-        }
-    }
-    return out;
-}
-
-bool all_serve(fleet& f, std::vector<std::size_t> const& upstreams,
-               std::int64_t after)
-{
-    return wait_until([&] {
-        return std::all_of(upstreams.begin(), upstreams.end(),
-                           [&](std::size_t i) {
-                               return counter(f, i, "last_request_ms") > after;
-                           });
-    });
-}
-
 // Time from the acceptance to the last request within the next 5 s.
 double new_work_after(fleet& f, std::vector<std::size_t> const& upstreams,
                       std::int64_t accepted)
 {
-    wait_until([&] { return counter(f, 0, "now_ms") > accepted + 5000; });
+    wait_until(
+        [&] { return upstream_counter(f, 0, "now_ms") > accepted + 5000; });
     std::int64_t last = accepted;
     for (auto const i : upstreams) {
-        last = std::max(last, counter(f, i, "last_request_ms"));
+        last = std::max(last, upstream_counter(f, i, "last_request_ms"));
     }
     return static_cast<double>(last - accepted) / 1000;
 }
@@ -169,13 +128,13 @@
                          std::function<void()> const& come_back)
 {
     background_load load(options);
-    require(all_serve(f, upstreams, counter(f, 0, "now_ms")),
+    require(all_serve(f, upstreams, upstream_counter(f, 0, "now_ms")),
             "an upstream gets no requests");
-    auto const accepted = counter(f, 0, "now_ms");
+    auto const accepted = upstream_counter(f, 0, "now_ms");
     leave();
     figures out;
     out["new_work_after_s"] = new_work_after(f, upstreams, accepted);
-    auto const returned = counter(f, 0, "now_ms");
+    auto const returned = upstream_counter(f, 0, "now_ms");
     come_back();
     require(all_serve(f, upstreams, returned),
             "an upstream gets no requests after its return");
--- a/tests/process/drain_test.cpp
+++ b/tests/process/drain_test.cpp
@@ -1,5 +1,6 @@
 #include "testbed/background_load.hpp"
 #include "testbed/fleet.hpp"
+#include "testbed/fleet_work.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -26,13 +27,6 @@
 
 std::string const query = R"({"group":"stores-desk","query":{},"limit":100})";
 
-std::int64_t counter(fleet& f, std::size_t upstream, char const* name)
-{
-    auto const all = f.upstream_counters(upstream);
-    CHECK(all.has_value());
-    return all->at(name).to_number<std::int64_t>();
-}
-
 // Replica r of service s is in data centre (s + r) modulo 3.
 std::vector<std::size_t> upstreams_of(std::size_t data_centre)
 {
@@ -45,42 +39,17 @@
     return out;
 }
 
-// Hosts of a data centre that is out refuse queries, so load goes to others.
-std::vector<load_target> targets_outside(fleet& f, std::string const& dc)
-{
-    std::vector<load_target> out;
-    for (auto const& it : f.hosts()) {
-        if (it.data_centre != dc) {
-            out.push_back({.port = it.caller_port});
-        }
-    }
-    return out;
-}
-
 void check_no_new_work(fleet& f, std::vector<std::size_t> const& upstreams,
                        std::int64_t accepted)
 {
     auto const until = accepted + last_new_work_ms + watch_ms;
-    CHECK(wait_until([&] { return counter(f, 0, "now_ms") > until; }));
+    CHECK(wait_until([&] { return upstream_counter(f, 0, "now_ms") > until; }));
     for (auto const i : upstreams) {
-        CHECK(counter(f, i, "last_request_ms") <= accepted + last_new_work_ms);
+        CHECK(upstream_counter(f, i, "last_request_ms") <=
+              accepted + last_new_work_ms);
     }
 }
 
-// Every upstream gets a request that arrives after the given time.
-bool all_serve(fleet& f, std::vector<std::size_t> const& upstreams,
-               std::int64_t after)
-{
-    return wait_until([&] {
-        for (auto const i : upstreams) {
-            if (counter(f, i, "last_request_ms") <= after) {
-                return false;
-            }
-        }
-        return true;
-    });
-}
-
 void check_all_answered(std::vector<query_sample> const& samples)
 {
     CHECK(!samples.empty());
@@ -100,10 +69,10 @@
     background_load load(options);
     CHECK(all_serve(f, upstreams, 0));
     // Taken before the ticket is accepted, which makes the bound stricter.
-    auto const accepted = counter(f, 0, "now_ms");
+    auto const accepted = upstream_counter(f, 0, "now_ms");
     leave();
     check_no_new_work(f, upstreams, accepted);
-    auto const returned = counter(f, 0, "now_ms");
+    auto const returned = upstream_counter(f, 0, "now_ms");
     come_back();
     CHECK(all_serve(f, upstreams, returned));
     check_all_answered(load.finish());
@@ -162,19 +131,9 @@
 TEST(drain, host_stops_gracefully_under_load)
 {
     fleet f(loaded_fleet());
-    background_load load(
-        {.targets =
-             [&] {
-                 std::vector<load_target> out;
-                 for (std::size_t i = 0; i < 6; ++i) {
-                     if (f.ready(i)) {
-                         out.push_back({.port = f.hosts()[i].caller_port});
-                     }
-                 }
-                 return out;
-             },
-         .body = query,
-         .rate = 80});
+    background_load load({.targets = [&] { return ready_targets(f); },
+                          .body = query,
+                          .rate = 80});
     CHECK(wait_until([&] { return load.samples().size() > 100; }));
     f.hosts()[0].process->signal(SIGTERM);
     LONGS_EQUAL(0, f.hosts()[0].process->wait());
@@ -182,6 +141,6 @@
     CHECK(wait_until([&] { return f.settled(1); }));
     check_all_answered(load.finish());
     for (std::size_t i = 0; i < f.upstream_ports().size(); ++i) {
-        CHECK(counter(f, i, "max_in_flight") <= 2 + 1);
+        CHECK(upstream_counter(f, i, "max_in_flight") <= 2 + 1);
     }
 }
