--- a/src/core/query/snapshot_run.cpp
+++ b/src/core/query/snapshot_run.cpp
@@ -8,17 +8,6 @@
 
 namespace snipemill {
 
-namespace {
-
-bool worth_a_retry(sub_outcome outcome)
-{
-    return outcome != sub_outcome::timed_out &&
-           outcome != sub_outcome::cancelled &&
-           outcome != sub_outcome::quarantined;
-}
-
-} // namespace
-
 bool did_not_run(sub_outcome outcome)
 {
     switch (outcome) {
@@ -86,7 +75,7 @@
         if (!service.postponed) {
             continue;
         }
-        if (!plan_retry(shared, now, s)) {
+        if (!resend_planner::plan_retry(shared, now, resends(), s)) {
             table_.close_service(s);
         }
         service.postponed = false;
@@ -100,7 +89,7 @@
     stepping_ = true;
     auto& service = table_.service(s);
     if (service.postponed) {
-        if (!plan_retry(shared, now, s)) {
+        if (!resend_planner::plan_retry(shared, now, resends(), s)) {
             return false;
         }
         service.postponed = false;
@@ -335,7 +324,7 @@
         service.postponed = true;
         return;
     }
-    if (plan_retry(shared, now, attempt.service)) {
+    if (resend_planner::plan_retry(shared, now, resends(), attempt.service)) {
         return;
     }
     if (service.last == sub_outcome::version_gone) {
@@ -358,52 +347,18 @@
     }
 }
 
-bool snapshot_run::plan_retry(query_shared& shared, time_point now,
-                              std::uint32_t s)
+void snapshot_run::on_owner_silent(query_shared& shared, time_point now)
 {
-    auto& service = table_.service(s);
-    // A request at a host that does not own its upstream tells nothing of the
-    // service, so it does not use up the retry.
-    auto const reroute =
-        service.last == sub_outcome::not_owner && !service.rerouted;
-    auto const allowed = (reroute || !service.retried) && !quarantined_ &&
-                         now < in_.deadline && worth_a_retry(service.last) &&
-                         shared.retries.tokens() >= 1;
-    if (!allowed || !plan_retry_target(shared, now, s)) {
-        return false;
-    }
-    shared.retries.take();
-    (reroute ? service.rerouted : service.retried) = true;
-    ++shared.counters.retries;
-    return true;
+    resend_planner::plan_moves(shared, now, resends());
 }
 
-bool snapshot_run::plan_retry_target(query_shared& shared, time_point now,
-                                     std::uint32_t s)
+resend_planner::context snapshot_run::resends()
 {
-    auto const& service = table_.service(s);
-    auto const tried = table_.tried_except_refused_hedges(s);
-    auto const& failed = table_.attempt(service.last_attempt);
-    auto const& owner = table_.batch(failed.batch).to;
-    if (service.owner_lost &&
-        target_planner::plan_other_owner(shared, failed, owner)) {
-        return true;
-    }
-    if (target_planner::plan_replica(
-            shared, now,
-            {.view = view_, .service = s, .tried = tried, .extra = true})) {
-        return true;
-    }
-    auto const* const moved = table_.last_not_owned(s);
-    if (moved != nullptr &&
-        target_planner::plan_other_owner(shared, *moved,
-                                         table_.batch(moved->batch).to)) {
-        return true;
-    }
-    // After the first step, the same replica again when there is no other.
-    return service.postponed && !stepping_ &&
-           target_planner::plan_replica(
-               shared, now, {.view = view_, .service = s, .extra = true});
+    return {.table = table_,
+            .view = view_,
+            .deadline = in_.deadline,
+            .quarantined = quarantined_,
+            .stepping = stepping_};
 }
 
 void snapshot_run::send_cancels(query_actions& out)
--- a/src/core/query/snapshot_run.hpp
+++ b/src/core/query/snapshot_run.hpp
@@ -4,6 +4,7 @@
 #include "core/query/coverage_counter.hpp"
 #include "core/query/query_shared.hpp"
 #include "core/query/record_merger.hpp"
+#include "core/query/resend_planner.hpp"
 #include "core/query/target_planner.hpp"
 
 #include <cstdint>
@@ -94,13 +95,7 @@
                       sub_attempt& attempt, sub_outcome outcome,
                       bool owner_lost);
     void cancel_others(time_point now, std::uint32_t s);
-    bool plan_retry(query_shared& shared, time_point now, std::uint32_t s);
-    bool plan_retry_target(query_shared& shared, time_point now,
-                           std::uint32_t s);
-    sub_attempt const* waiting_for_silent(query_shared const& shared,
-                                          std::uint32_t s) const;
-    bool plan_move(query_shared& shared, time_point now,
-                   sub_attempt const& waiting);
+    resend_planner::context resends();
     void send_cancels(query_actions& out);
 
     input in_;
