--- a/tests/core/membership/fleet.hpp
+++ b/tests/core/membership/fleet.hpp
@@ -101,6 +101,7 @@
     }
 
     std::vector<host>& hosts() { return hosts_; }
+    std::vector<host> const& hosts() const { return hosts_; }
     time_point now() const { return now_; }
     rng& random() { return random_; }
     network_faults faults;
