Report ready only when routing knows the hosts that answered

Cause: a starting host reported ready as soon as it had a configuration.

The view is then built at once, and readiness does not go back with later members. Without an answer the end of the first read of the platform's list is awaited, well or not. The settings of later reads of the list can be set for tests.

--- a/src/adapters/settings/host_settings.hpp
+++ b/src/adapters/settings/host_settings.hpp
@@ -5,6 +5,7 @@
 #include "adapters/settings/yaml_reader.hpp"
 #include "core/config/config_spread.hpp"
 #include "core/membership/member_list.hpp"
+#include "core/membership/seed_schedule.hpp"
 #include "core/owner/owner_engine.hpp"
 #include "core/quarantine/crash_bursts.hpp"
 #include "core/quarantine/quarantine.hpp"
@@ -56,6 +57,7 @@
     http_server_options http;
     platform_client_options platform;
     member_list_settings membership;
+    seed_schedule_settings host_list;
     config_spread_settings spread;
     query_engine_settings query;
     owner_engine_settings owner;
--- a/src/app/control_plane.cpp
+++ b/src/app/control_plane.cpp
@@ -22,7 +22,7 @@
                              lane_group& lanes, std::uint64_t seed)
     : settings_(&settings), events_(&events), lanes_(&lanes), seed_(seed),
       work_(boost::asio::make_work_guard(io_)), timer_(io_),
-      seed_schedule_({}, seed + 2),
+      seed_schedule_(settings.host_list, seed + 2),
       platform_(io_, settings.platform,
                 [this](bool reachable) { on_platform_state(reachable); }),
       peers_(io_, {.ip = settings.ip}), quarantine_(settings.crashes),
@@ -32,29 +32,6 @@
 
 control_plane::~control_plane() = default;
 
-member_info control_plane::make_self(std::uint16_t peer_port,
-                                     std::uint16_t operator_port) const
-{
-    return {.id = host_id(settings_->name),
-            .data_centre = settings_->data_centre,
-            .ip = settings_->ip,
-            .peer_port = peer_port,
-            .operator_port = operator_port,
-            .incarnation = wall_us() / 1000,
-            .state = member_state::alive};
-}
-
-std::vector<member_seed> control_plane::seeds(bool local_only) const
-{
-    std::vector<member_seed> out;
-    for (auto const& it : settings_->seeds) {
-        if (!local_only || it.data_centre == settings_->data_centre) {
-            out.push_back({.ip = it.ip, .port = it.peer_port});
-        }
-    }
-    return out;
-}
-
 void control_plane::start(std::uint16_t peer_port, std::uint16_t operator_port)
 {
     auto const self = make_self(peer_port, operator_port);
@@ -68,6 +45,9 @@
     members_->set_seeds(seeds(false));
     seed_schedule_.start(core_now());
     refresh_seeds();
+    with_members([&](time_point now, member_actions& out) {
+        members_->join(now, false, out);
+    });
     update_view();
     with_spread([&](time_point now, spread_actions& out) {
         spread_->start(now, seeds(true), out);
@@ -133,6 +113,7 @@
     send_crash_burst();
     pass_on_members();
     remove_old_claims(now);
+    finish_start();
     if (now >= next_view_) {
         update_view();
     }
@@ -151,6 +132,7 @@
     with_members([&](time_point now, member_actions& out) {
         members_->on_message(now, packet.message, out);
     });
+    finish_start();
 }
 
 std::vector<crash_record> control_plane::next_crashes()
@@ -207,20 +189,29 @@
 void control_plane::refresh_seeds()
 {
     platform_.hosts([this](platform_result<std::vector<platform_host>> r) {
-        auto const* hosts = std::get_if<std::vector<platform_host>>(&r);
-        if (hosts == nullptr) {
-            return;
+        if (auto const* hosts = std::get_if<std::vector<platform_host>>(&r)) {
+            add_seeds(*hosts);
         }
-        auto all = seeds(false);
-        for (auto const& it : *hosts) {
-            if (it.name != settings_->name && !it.leaving) {
-                all.push_back({.ip = it.ip, .port = it.peer_port});
-            }
+        if (!routed_) {
+            with_members([&](time_point now, member_actions& out) {
+                members_->join(now, true, out);
+            });
+            finish_start();
         }
-        members_->set_seeds(std::move(all));
     });
 }
 
+void control_plane::add_seeds(std::vector<platform_host> const& hosts)
+{
+    auto all = seeds(false);
+    for (auto const& it : hosts) {
+        if (it.name != settings_->name && !it.leaving) {
+            all.push_back({.ip = it.ip, .port = it.peer_port});
+        }
+    }
+    members_->set_seeds(std::move(all));
+}
+
 // Configuration
 
 void control_plane::run_action(read_config& a)
@@ -381,17 +372,6 @@
     }
 }
 
-void control_plane::run_action(config_ready& a)
-{
-    if (a.ready == ready_) {
-        return;
-    }
-    ready_ = a.ready;
-    events_->report(a.ready ? event_kind::host_ready
-                            : event_kind::host_not_ready,
-                    settings_->name, "");
-}
-
 void control_plane::on_platform_state(bool reachable)
 {
     events_->report(reachable ? event_kind::platform_found
--- a/src/app/control_plane.hpp
+++ b/src/app/control_plane.hpp
@@ -128,6 +128,10 @@
     void on_pull_event(host_id const& from, stream_event event);
     void on_platform_state(bool reachable);
     void refresh_seeds();
+    void add_seeds(std::vector<platform_host> const& hosts);
+    // Makes the host ready once it has a configuration and has joined.
+    void finish_start();
+    void report_ready();
     std::map<host_id, duration> unreachable() const;
 
     std::string serve_config(std::string const& message);
@@ -180,7 +184,8 @@
     std::uint64_t view_sequence_ = 0;
     bool view_stale_ = true;
     time_point next_view_{}; // earliest for a change of members
-    bool ready_ = false;
+    bool ready_ = false;     // the configuration may be served
+    bool routed_ = false;    // view_ was built after joining, with ready_ set
     bool leaving_ = false;
     bool reader_ = false;
     peer_address address_buffer_;
--- a/src/app/control_services.cpp
+++ b/src/app/control_services.cpp
@@ -64,7 +64,8 @@
 {
     auto const* own = topology_->find_data_centre(settings_->data_centre);
     auto const taken_out = own != nullptr && !own->in;
-    return ready_ && !leaving_ && !taken_out && spread_->store().number() > 0;
+    return ready_ && routed_ && !leaving_ && !taken_out &&
+           spread_->store().number() > 0;
 }
 
 std::map<host_id, duration> control_plane::unreachable() const
--- a/src/core/membership/member_list.cpp
+++ b/src/core/membership/member_list.cpp
@@ -1,5 +1,6 @@
 #include "core/membership/member_list.hpp"
 
+#include "core/membership/join_wait.hpp"
 #include "core/membership/member_table.hpp"
 #include "core/membership/probe_schedule.hpp"
 #include "core/membership/relay_list.hpp"
@@ -35,6 +36,7 @@
     void on_message(time_point now, probe_message const& m,
                     member_actions& out);
     void on_timer(time_point now, member_actions& out);
+    void join(time_point now, bool list_ended, member_actions& out);
     void leave(time_point now, member_actions& out);
     void announce(member_actions& out);
     time_point next_timer() const;
@@ -44,6 +46,7 @@
     rng random_;
     member_table members_;
     probe_schedule schedule_;
+    join_wait join_{{}};
     update_queue updates_;
     member_counters counters_;
     std::uint64_t config_number_ = 0;
@@ -78,7 +81,10 @@
     void add_member(probe_message& m, host_id const& id, host_id const& to);
     void send(member_seed const& to, probe_message m, member_actions& out);
 
+    void ask(time_point now, member_seed const& host, member_actions& out);
+
     bool started_ = false;
+    bool joining_ = false;
     time_point next_tick_{};
     time_point next_dead_probe_{};
     bool seed_is_next_ = false;
@@ -95,6 +101,7 @@
         return;
     }
     note_pause(now);
+    joining_ = joining_ && !join_.over(now);
     auto const refuted_before = counters_.refuted;
     learn(now, m.from, out);
     auto const n =
@@ -134,6 +141,7 @@
     }
     auto const pause = now - next_tick_;
     members_.extend(pause);
+    join_.extend(pause);
     probe_.reset();
     relayed_.clear();
     next_tick_ = now;
@@ -156,6 +164,9 @@
         return;
     }
     updates_.push(news.id);
+    if (joining_ && news.state == member_state::alive) {
+        ask(now, {news.ip, news.peer_port}, out);
+    }
     if (result == member_table::outcome::changed) {
         counters_.suspected += news.state == member_state::suspect &&
                                        old_state != member_state::suspect
@@ -195,6 +206,10 @@
 
 void member_list::impl::on_ack(probe_message const& m, member_actions& out)
 {
+    // An announcement carries no updates, so it tells nothing of the others.
+    if (m.sequence != no_probe) {
+        join_.on_answer({m.from.ip, m.from.peer_port});
+    }
     if (probe_ && probe_->sequence == m.sequence &&
         (m.from.id == probe_->target || m.target == probe_->target)) {
         probe_.reset();
@@ -339,6 +354,27 @@
          compose(probe_kind::probe, next_sequence_++, *dead), out);
 }
 
+void member_list::impl::join(time_point now, bool list_ended,
+                             member_actions& out)
+{
+    if (list_ended) {
+        join_.on_list_ended();
+    }
+    for (auto const& seed : schedule_.unknown_seeds(members_, self_)) {
+        ask(now, seed, out);
+    }
+    joining_ = true;
+}
+
+void member_list::impl::ask(time_point now, member_seed const& host,
+                            member_actions& out)
+{
+    if (join_.ask(now, host)) {
+        ++counters_.probes_sent;
+        send(host, compose(probe_kind::probe, next_sequence_++, {}), out);
+    }
+}
+
 void member_list::impl::leave(time_point now, member_actions& out)
 {
     note_pause(now);
@@ -457,6 +493,16 @@
     impl_->schedule_.set_seeds(std::move(seeds));
 }
 
+void member_list::join(time_point now, bool list_ended, member_actions& out)
+{
+    impl_->join(now, list_ended, out);
+}
+
+bool member_list::joined(time_point now) const
+{
+    return impl_->join_.over(now);
+}
+
 void member_list::set_config_number(std::uint64_t number)
 {
     impl_->config_number_ = number;
--- a/src/core/membership/member_list.hpp
+++ b/src/core/membership/member_list.hpp
@@ -132,6 +132,12 @@
     member_list& operator=(member_list const&) = delete;
 
     void set_seeds(std::vector<member_seed> seeds);
+    // Asks seeds, and then the hosts that they name, without waiting for the
+    // probe interval: when this host starts, and again when the first read of
+    // the platform's host list has ended.
+    void join(time_point now, bool list_ended, member_actions& out);
+    // Whether the hosts that were asked have answered or have had the time to.
+    bool joined(time_point now) const;
     void set_config_number(std::uint64_t number);
     void on_message(time_point now, probe_message const& message,
                     member_actions& out);
--- a/src/core/membership/probe_schedule.cpp
+++ b/src/core/membership/probe_schedule.cpp
@@ -65,14 +65,34 @@
 {
     for (std::size_t i = 0; i < seeds_.size(); ++i) {
         auto const& seed = seeds_[next_seed_++ % seeds_.size()];
-        auto const own = seed.ip == self.ip && seed.port == self.peer_port;
-        if (!own && !members.knows_address(seed)) {
+        if (unknown(members, self, seed)) {
             return seed;
         }
     }
     return std::nullopt;
 }
 
+std::vector<member_seed>
+probe_schedule::unknown_seeds(member_table const& members,
+                              member_info const& self) const
+{
+    std::vector<member_seed> out;
+    for (std::size_t i = 0; i < seeds_.size(); ++i) {
+        auto const& seed = seeds_[(next_seed_ + i) % seeds_.size()];
+        if (unknown(members, self, seed)) {
+            out.push_back(seed);
+        }
+    }
+    return out;
+}
+
+bool probe_schedule::unknown(member_table const& members,
+                             member_info const& self, member_seed const& seed)
+{
+    auto const own = seed.ip == self.ip && seed.port == self.peer_port;
+    return !own && !members.knows_address(seed);
+}
+
 std::vector<host_id> probe_schedule::relays(member_table const& members,
                                             host_id const& target,
                                             std::size_t n)
--- a/src/core/membership/probe_schedule.hpp
+++ b/src/core/membership/probe_schedule.hpp
@@ -23,12 +23,17 @@
     // A seed that no member is known to use.
     std::optional<member_seed> next_seed(member_table const& members,
                                          member_info const& self);
+    // All such seeds, starting with the next one.
+    std::vector<member_seed> unknown_seeds(member_table const& members,
+                                           member_info const& self) const;
     // Up to n random members other than the target.
     std::vector<host_id> relays(member_table const& members,
                                 host_id const& target, std::size_t n);
 
 private:
     std::optional<host_id> next_suspect(member_table const& members);
+    static bool unknown(member_table const& members, member_info const& self,
+                        member_seed const& seed);
     void refill(member_table const& members);
     void shuffle(std::vector<host_id>& ids);
 
