--- a/src/core/membership/member_list.cpp
+++ b/src/core/membership/member_list.cpp
@@ -1,5 +1,6 @@
 #include "core/membership/member_list.hpp"
 
+#include "core/membership/joiner.hpp"
 #include "core/membership/probe_responder.hpp"
 #include "core/membership/prober.hpp"
 #include "core/membership/update_merger.hpp"
@@ -28,7 +29,7 @@
          std::uint64_t seed)
         : shared_(settings, std::move(self), seed), composer_(shared_),
           merger_(shared_), prober_(shared_, composer_),
-          responder_(shared_, composer_)
+          responder_(shared_, composer_), joiner_(shared_, composer_)
     {
         assert(settings.max_updates > 0);
     }
@@ -40,6 +41,8 @@
     void on_message(time_point now, probe_message const& m,
                     member_actions& out);
     void on_timer(time_point now, member_actions& out);
+    void join(time_point now, bool list_ended, member_actions& out);
+    bool joined(time_point now) const { return joiner_.joined(now); }
     void leave(time_point now, member_actions& out);
     void announce(member_actions& out);
     time_point next_timer() const;
@@ -53,6 +56,7 @@
     update_merger merger_;
     prober prober_;
     probe_responder responder_;
+    joiner joiner_;
 };
 
 void member_list::impl::on_message(time_point now, probe_message const& m,
@@ -65,6 +69,7 @@
     note_pause(now);
     auto const refuted_before = shared_.counters.refuted;
     merger_.merge(now, m, out);
+    joiner_.on_message(now, m, out);
     if (shared_.members.find(m.from.id) == nullptr) {
         return;
     }
@@ -75,6 +80,10 @@
         responder_.on_probe(m, out);
         break;
     case probe_kind::ack:
+        // An announcement carries no updates, so it tells nothing of others.
+        if (m.sequence != no_probe) {
+            joiner_.on_answer(m.from);
+        }
         if (!prober_.on_ack(m)) {
             responder_.on_ack(m, out);
         }
@@ -93,11 +102,19 @@
 
 void member_list::impl::note_pause(time_point now)
 {
-    if (prober_.note_pause(now)) {
+    auto const pause = prober_.note_pause(now);
+    if (pause > duration{}) {
+        joiner_.extend(pause);
         responder_.clear();
     }
 }
 
+void member_list::impl::join(time_point now, bool list_ended,
+                             member_actions& out)
+{
+    joiner_.join(now, prober_.unknown_seeds(), list_ended, out);
+}
+
 void member_list::impl::on_timer(time_point now, member_actions& out)
 {
     prober_.start(now);
@@ -149,6 +166,16 @@
     impl_->set_seeds(std::move(seeds));
 }
 
+void member_list::join(time_point now, bool list_ended, member_actions& out)
+{
+    impl_->join(now, list_ended, out);
+}
+
+bool member_list::joined(time_point now) const
+{
+    return impl_->joined(now);
+}
+
 void member_list::set_config_number(std::uint64_t number)
 {
     impl_->shared_.config_number = number;
--- a/src/core/membership/prober.cpp
+++ b/src/core/membership/prober.cpp
@@ -14,6 +14,11 @@
     schedule_.set_seeds(std::move(seeds));
 }
 
+std::vector<member_seed> prober::unknown_seeds() const
+{
+    return schedule_.unknown_seeds(shared_.members, shared_.self);
+}
+
 void prober::start(time_point now)
 {
     if (started_) {
@@ -26,15 +31,16 @@
                                  (shared_.random.below(1000) + 1) / 1000;
 }
 
-bool prober::note_pause(time_point now)
+duration prober::note_pause(time_point now)
 {
     if (!started_ || now <= next_tick_ + shared_.settings.probe_interval) {
-        return false;
+        return duration{};
     }
-    shared_.members.extend(now - next_tick_);
+    auto const pause = now - next_tick_;
+    shared_.members.extend(pause);
     probe_.reset();
     next_tick_ = now;
-    return true;
+    return pause;
 }
 
 bool prober::on_timer(time_point now, member_actions& out)
--- a/src/core/membership/prober.hpp
+++ b/src/core/membership/prober.hpp
@@ -18,12 +18,13 @@
     prober(membership_shared& shared, message_composer& composer);
 
     void set_seeds(std::vector<member_seed> seeds);
+    std::vector<member_seed> unknown_seeds() const;
     // Starts the intervals; later calls have no effect.
     void start(time_point now);
     // Ends the probe under way when the timer is so late that the host must
-    // have been paused, and returns whether it was. A host that was paused has
+    // have been paused, and returns for how long. A host that was paused has
     // missed answers; they say nothing about others.
-    bool note_pause(time_point now);
+    duration note_pause(time_point now);
     // Returns whether an interval has begun.
     bool on_timer(time_point now, member_actions& out);
     // Returns whether the message answers the probe under way, which is ended.
