Share the lanes and ports of the control plane's tests

Cause: control_plane_test.cpp and control_fixture.hpp both defined no_lanes and free_port. Change: the test uses those of the fixture. No check changed. Conclusion: one definition each.

--- a/tests/app/control_plane_test.cpp
+++ b/tests/app/control_plane_test.cpp
@@ -1,36 +1,14 @@
-#include "app/control_plane.hpp"
-#include "app/core_time.hpp"
-
-#include <boost/asio/ip/udp.hpp>
+#include "control_fixture.hpp"
 
 #include <CppUTest/TestHarness.h>
 
 #include <chrono>
 
 using namespace snipemill;
+using namespace snipemill::test;
 
 namespace {
 
-class no_lanes : public lane_group
-{
-public:
-    void publish(std::shared_ptr<routing_view const>) override {}
-    void publish(std::vector<fingerprint> const&) override {}
-    void handover(std::vector<upstream_gauge> const&) override {}
-    void give_up(std::shared_ptr<routing_view const>,
-                 std::function<void(std::vector<upstream_gauge>)>) override
-    {}
-};
-
-std::uint16_t free_port()
-{
-    using boost::asio::ip::udp;
-    boost::asio::io_context io;
-    udp::socket const socket(
-        io, udp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
-    return socket.local_endpoint().port();
-}
-
 member_info member(std::uint32_t number)
 {
     return {.id = host_id("host-" + std::to_string(number)),
