--- /dev/null
+++ b/src/adapters/forward/forward_text.cpp
@@ -0,0 +1,210 @@
+#include "adapters/forward/forward_text.hpp"
+
+#include "adapters/http/error_body.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace snipemill {
+
+namespace {
+
+// Headers that concern one connection only.
+constexpr std::array<std::string_view, 10> connection_headers{
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length"};
+
+bool listed(std::string_view list, std::string_view name)
+{
+    while (!list.empty()) {
+        auto const comma = list.find(',');
+        auto item = list.substr(0, comma);
+        list = comma == std::string_view::npos ? std::string_view()
+                                               : list.substr(comma + 1);
+        while (!item.empty() && item.front() == ' ') {
+            item.remove_prefix(1);
+        }
+        while (!item.empty() && item.back() == ' ') {
+            item.remove_suffix(1);
+        }
+        if (std::equal(item.begin(), item.end(), name.begin(), name.end(),
+                       [](unsigned char a, unsigned char b) {
+                           return std::tolower(a) == b;
+                       })) {
+            return true;
+        }
+    }
+    return false;
+}
+
+bool concerns_connection(std::string_view name, std::string_view connection)
+{
+    return std::find(connection_headers.begin(), connection_headers.end(),
+                     name) != connection_headers.end() ||
+           (!connection.empty() && listed(connection, name));
+}
+
+std::string_view value_of(header_list const& headers, std::string_view name)
+{
+    for (auto const& [key, value] : headers) {
+        if (key == name) {
+            return value;
+        }
+    }
+    return {};
+}
+
+bool has(header_list const& headers, std::string_view name)
+{
+    return std::any_of(headers.begin(), headers.end(),
+                       [&](auto const& it) { return it.first == name; });
+}
+
+template <class... F>
+struct overloaded : F...
+{
+    using F::operator()...;
+};
+
+// Retry-After in seconds with fractions, which callers accept.
+std::string seconds_text(duration d)
+{
+    std::array<char, 32> buf{};
+    auto const n =
+        std::snprintf(buf.data(), buf.size(), "%.3f", to_ms(d) / 1000);
+    return {buf.data(), static_cast<std::size_t>(n)};
+}
+
+http_response write_refusal(refused_answer const& from)
+{
+    http_response out{.status = from.status,
+                      .body = write_error_body(from.reason)};
+    if (from.retry_after > duration::zero()) {
+        out.headers.emplace_back("Retry-After", seconds_text(from.retry_after));
+    }
+    return out;
+}
+
+http_response write_merged(merged_answer&& from, forward_headers const& names)
+{
+    http_response out{.content_type = "application/octet-stream",
+                      .body = std::move(from.body)};
+    std::string proofs;
+    for (auto const& it : from.proofs) {
+        proofs += proofs.empty() ? "" : ", ";
+        proofs += it;
+    }
+    out.headers.emplace_back(names.part_proofs, std::move(proofs));
+    out.headers.emplace_back(names.missing_parts, std::to_string(from.missing));
+    return out;
+}
+
+} // namespace
+
+forward_request make_forward_request(http_request&& from,
+                                     forward_headers const& names)
+{
+    auto const connection = std::string(from.header("connection"));
+    auto& text = from.headers;
+    forward_request out{.id = from.header(names.request_id),
+                        .method = from.method,
+                        .target = from.target,
+                        .body = std::move(from.body)};
+    out.text.reserve(256);
+    out.text.append(from.method).append(" ").append(from.target);
+    out.text.append(" HTTP/1.1\r\n");
+    for (auto const& [name, value] : text) {
+        if (name == names.time_left || name == names.expected_instance ||
+            name == "expect" || concerns_connection(name, connection)) {
+            continue;
+        }
+        out.text.append(name).append(": ").append(value).append("\r\n");
+    }
+    bool const bodyless = out.method == "GET" || out.method == "HEAD";
+    if (!out.body.empty() || !bodyless) {
+        out.text += "content-length: " + std::to_string(out.body.size());
+        out.text += "\r\n";
+    }
+    return out;
+}
+
+std::string write_exchange(forward_request const& request,
+                           forward_headers const& names, duration time_left,
+                           std::string const& instance)
+{
+    auto const ms =
+        std::max<std::int64_t>(1, static_cast<std::int64_t>(to_ms(time_left)));
+    std::string out;
+    out.reserve(request.text.size() + request.body.size() + 128);
+    out.append(request.text);
+    out.append(names.time_left).append(": ").append(std::to_string(ms));
+    out.append("\r\n").append(names.expected_instance).append(": ");
+    out.append(instance).append("\r\n\r\n").append(request.body);
+    return out;
+}
+
+std::optional<reported_load> read_load(std::string_view text)
+{
+    reported_load out;
+    std::array<std::uint32_t*, 3> const fields{&out.running, &out.waiting,
+                                               &out.slots};
+    auto const* at = text.data();
+    auto const* const end = text.data() + text.size();
+    for (std::size_t i = 0; i < fields.size(); ++i) {
+        auto const [next, ec] = std::from_chars(at, end, *fields[i]);
+        bool const last = i + 1 == fields.size();
+        if (ec != std::errc() ||
+            (last ? next != end : next == end || *next != ',')) {
+            return std::nullopt;
+        }
+        at = next + (last ? 0 : 1);
+    }
+    return out;
+}
+
+upstream_answer read_upstream_answer(http_response&& from,
+                                     forward_headers const& names)
+{
+    upstream_answer out{.status = from.status, .body = std::move(from.body)};
+    out.proof = value_of(from.headers, names.proof);
+    out.wrong_instance = from.status == 421;
+    out.not_run = has(from.headers, names.not_run);
+    out.load = read_load(value_of(from.headers, names.load));
+    auto const connection = std::string(value_of(from.headers, "connection"));
+    std::erase_if(from.headers, [&](auto const& it) {
+        return concerns_connection(it.first, connection);
+    });
+    out.headers = std::move(from.headers);
+    return out;
+}
+
+http_response write_caller_answer(caller_answer&& answer,
+                                  forward_headers const& names)
+{
+    return std::visit(
+        overloaded{[](relayed_answer& it) {
+                       return http_response{.status = it.answer.status,
+                                            .content_type = "",
+                                            .headers =
+                                                std::move(it.answer.headers),
+                                            .body = std::move(it.answer.body)};
+                   },
+                   [&](merged_answer& it) {
+                       return write_merged(std::move(it), names);
+                   },
+                   [](refused_answer& it) { return write_refusal(it); }},
+        answer);
+}
+
+} // namespace snipemill
--- /dev/null
+++ b/src/adapters/forward/upstream_links.cpp
@@ -0,0 +1,418 @@
+#include "adapters/forward/upstream_links.hpp"
+
+#include "adapters/forward/forward_text.hpp"
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace snipemill {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// "timeout=5, max=100" in seconds; zero when there is none.
+duration stated_idle_time(http_response const& answer)
+{
+    constexpr std::string_view key = "timeout=";
+    for (auto const& [name, value] : answer.headers) {
+        if (name != "keep-alive") {
+            continue;
+        }
+        auto const at = value.find(key);
+        std::int64_t seconds = 0;
+        if (at != std::string::npos) {
+            std::from_chars(value.data() + at + key.size(),
+                            value.data() + value.size(), seconds);
+        }
+        return from_ms(1000 * seconds);
+    }
+    return duration::zero();
+}
+
+} // namespace
+
+upstream_links::upstream_links(asio::io_context& io, upstream_fleet& fleet,
+                               forward_headers const& names,
+                               upstream_links_settings const& settings,
+                               std::function<time_point()> now,
+                               reach_callback on_reach)
+    : io_(io), fleet_(fleet), names_(names), settings_(settings),
+      now_(std::move(now)), on_reach_(std::move(on_reach)), release_timer_(io)
+{}
+
+upstream_links::~upstream_links()
+{
+    *alive_ = false;
+    for (auto& [id, it] : exchanges_) {
+        if (it.connection) {
+            it.connection->discard();
+        }
+    }
+    for (auto& [state, it] : links_) {
+        for (auto const& idle : it->idle) {
+            idle.connection->discard();
+        }
+    }
+}
+
+upstream_links::link_ptr const& upstream_links::link_of(upstream_ptr const& to)
+{
+    auto& it = links_[to.get()];
+    if (!it) {
+        it = std::make_shared<upstream_link>(io_);
+        it->to = to;
+        it->idle_limit = settings_.idle_limit;
+    }
+    return it;
+}
+
+void upstream_links::add(upstream_ptr const& to)
+{
+    auto const it = link_of(to);
+    if (!to->record.draining && !to->evacuated) {
+        connect(it);
+    }
+}
+
+void upstream_links::remove(upstream_ptr const& to)
+{
+    auto const found = links_.find(to.get());
+    if (found == links_.end()) {
+        return;
+    }
+    auto const it = found->second;
+    it->removed = true;
+    it->timer.cancel();
+    for (auto const& idle : it->idle) {
+        idle.connection->discard();
+    }
+    it->idle.clear();
+    forget(it);
+}
+
+// A removed link goes when its last exchange has ended.
+void upstream_links::forget(link_ptr const& it)
+{
+    if (it->removed && it->to->in_flight() == 0 && it->connecting == 0) {
+        links_.erase(it->to.get());
+    }
+}
+
+void upstream_links::connect(link_ptr const& it)
+{
+    boost::system::error_code ec;
+    auto const address = asio::ip::make_address(it->to->record.ip, ec);
+    if (ec) {
+        on_connect_failed(it);
+        return;
+    }
+    ++it->connecting;
+    ++counters_.connects;
+    auto const connection =
+        std::make_shared<client_connection>(io_, settings_.max_answer);
+    connection->limit_silence(settings_.silence_limit);
+    connection->connect({address, it->to->record.port},
+                        settings_.connect_timeout,
+                        [this, alive = alive_, it, connection](bool ok) {
+                            if (*alive) {
+                                on_connected(it, connection, ok);
+                            }
+                        });
+}
+
+void upstream_links::on_connected(link_ptr const& it,
+                                  connection_ptr const& connection, bool ok)
+{
+    --it->connecting;
+    if (!ok) {
+        ++counters_.connect_failures;
+        on_connect_failed(it);
+        forget(it);
+        return;
+    }
+    it->reconnect_delay = duration::zero();
+    set_reachable(*it, true);
+    // An idle connection that the upstream closes is replaced at the next
+    // need, or soon when it was the last one.
+    connection->on_closed([this, alive = alive_, weak = std::weak_ptr(it),
+                           ptr = connection.get()] {
+        auto const link = weak.lock();
+        if (!*alive || !link) {
+            return;
+        }
+        std::erase_if(link->idle, [ptr](idle_connection const& c) {
+            return c.connection.get() == ptr;
+        });
+        if (link->idle.empty()) {
+            connect_later(link);
+        }
+    });
+    if (!it->waiting.empty()) {
+        auto const id = it->waiting.front();
+        it->waiting.pop_front();
+        run(it, id, connection);
+        return;
+    }
+    if (it->removed) {
+        connection->discard();
+        forget(it);
+        return;
+    }
+    it->idle.push_back({connection, now_()});
+}
+
+void upstream_links::on_connect_failed(link_ptr const& it)
+{
+    set_reachable(*it, false);
+    fail_waiting(*it);
+    connect_later(it);
+}
+
+void upstream_links::connect_later(link_ptr const& it)
+{
+    auto const& to = *it->to;
+    if (it->timer_set || it->removed || to.record.draining || to.evacuated) {
+        return;
+    }
+    it->timer_set = true;
+    it->reconnect_delay =
+        std::clamp(it->reconnect_delay * 2, settings_.first_reconnect,
+                   settings_.longest_reconnect);
+    it->timer.expires_after(it->reconnect_delay);
+    it->timer.async_wait([this, alive = alive_,
+                          it](boost::system::error_code ec) {
+        if (!*alive) {
+            return;
+        }
+        it->timer_set = false;
+        auto const& state = *it->to;
+        if (!ec && !it->removed && it->idle.empty() && it->connecting == 0 &&
+            !state.record.draining && !state.evacuated) {
+            connect(it);
+        }
+    });
+}
+
+void upstream_links::set_reachable(upstream_link& it, bool reachable)
+{
+    auto& state = *it.to;
+    auto const before = state.reach;
+    if (reachable) {
+        state.connected(now_());
+        fleet_.alive(state);
+    }
+    else {
+        state.reach = reachability::unreachable;
+        for (auto const& idle : it.idle) {
+            idle.connection->discard();
+        }
+        it.idle.clear();
+    }
+    if (before != state.reach && on_reach_) {
+        on_reach_(state, reachable);
+    }
+}
+
+upstream_links::connection_ptr upstream_links::take_idle(upstream_link& it)
+{
+    auto const oldest = now_() - it.idle_limit;
+    while (!it.idle.empty()) {
+        auto const last = std::move(it.idle.back());
+        it.idle.pop_back();
+        if (last.since > oldest && last.connection->usable()) {
+            return last.connection;
+        }
+        last.connection->discard();
+    }
+    return nullptr;
+}
+
+exchange_id upstream_links::send(upstream_ptr to,
+                                 std::shared_ptr<forward_request const> request,
+                                 time_point deadline,
+                                 std::function<void(exchange_outcome)> f)
+{
+    auto const id = next_id_++;
+    auto const it = link_of(to);
+    exchanges_.emplace(id, exchange{.to = std::move(to),
+                                    .request = std::move(request),
+                                    .deadline = deadline,
+                                    .f = std::move(f)});
+    if (auto connection = take_idle(*it)) {
+        run(it, id, std::move(connection));
+        return id;
+    }
+    it->waiting.push_back(id);
+    if (it->connecting < it->waiting.size()) {
+        connect(it);
+    }
+    return id;
+}
+
+void upstream_links::run(link_ptr const& it, exchange_id id,
+                         connection_ptr connection)
+{
+    auto& open = exchanges_.at(id);
+    open.connection = connection;
+    ++counters_.exchanges;
+    connection->expect_echo(names_.request_id, open.request->id);
+    connection->exchange(
+        write_exchange(*open.request, names_, open.deadline - now_(),
+                       it->to->record.instance),
+        open.request->method == "HEAD",
+        [this, alive = alive_, it, id, connection](exchange_result result) {
+            if (*alive) {
+                on_result(it, id, connection, std::move(result));
+            }
+        });
+}
+
+void upstream_links::on_result(link_ptr const& it, exchange_id id,
+                               connection_ptr const& connection,
+                               exchange_result result)
+{
+    keep(it, connection, result);
+    if (auto* const answer = std::get_if<http_response>(&result)) {
+        end(id, read_upstream_answer(std::move(*answer), names_));
+    }
+    else if (!std::get<exchange_failed>(result).sent) {
+        end(id, exchange_not_sent{});
+    }
+    else {
+        ++counters_.lost;
+        end(id, exchange_lost{.closed_here = exchanges_.at(id).given_up});
+    }
+    forget(it);
+}
+
+// Keeps the connection of an ended exchange, or replaces it.
+void upstream_links::keep(link_ptr const& it, connection_ptr const& connection,
+                          exchange_result const& result)
+{
+    if (auto const* const answer = std::get_if<http_response>(&result)) {
+        auto const stated = stated_idle_time(*answer);
+        if (stated > duration::zero()) {
+            it->idle_limit = std::chrono::duration_cast<duration>(
+                stated * settings_.idle_share);
+        }
+    }
+    if (!connection->open()) {
+        if (it->idle.empty()) {
+            connect_later(it);
+        }
+        return;
+    }
+    if (it->removed || it->to->record.draining || it->to->evacuated) {
+        connection->discard();
+        return;
+    }
+    if (!it->waiting.empty()) {
+        auto const next = it->waiting.front();
+        it->waiting.pop_front();
+        // Not inside the callback of the connection's own exchange.
+        asio::post(io_, [this, alive = alive_, it, next, connection] {
+            if (!*alive || !exchanges_.contains(next)) {
+                return;
+            }
+            if (connection->usable()) {
+                run(it, next, connection);
+                return;
+            }
+            it->waiting.push_front(next);
+            connect(it);
+        });
+        return;
+    }
+    it->idle.push_back({connection, now_()});
+}
+
+void upstream_links::end(exchange_id id, exchange_outcome outcome)
+{
+    auto node = exchanges_.extract(id);
+    if (!node.empty()) {
+        node.mapped().f(std::move(outcome));
+    }
+}
+
+// The callbacks come later: a caller of send() does not expect them inside.
+void upstream_links::fail_waiting(upstream_link& it)
+{
+    auto const waiting = std::exchange(it.waiting, {});
+    for (auto const id : waiting) {
+        asio::post(io_, [this, alive = alive_, id] {
+            if (*alive) {
+                end(id, exchange_not_sent{});
+            }
+        });
+    }
+}
+
+void upstream_links::release(exchange_id id, time_point give_up)
+{
+    auto const it = exchanges_.find(id);
+    if (it == exchanges_.end()) {
+        return;
+    }
+    if (!it->second.connection) {
+        auto const link = links_.find(it->second.to.get());
+        if (link != links_.end()) {
+            std::erase(link->second->waiting, id);
+        }
+        asio::post(io_, [this, alive = alive_, id] {
+            if (*alive) {
+                end(id, exchange_not_sent{});
+            }
+        });
+        return;
+    }
+    releases_.emplace(give_up, id);
+    arm_release();
+}
+
+void upstream_links::arm_release()
+{
+    if (releases_.empty() || release_at_ <= releases_.begin()->first) {
+        return;
+    }
+    release_at_ = releases_.begin()->first;
+    release_timer_.expires_after(
+        std::max(duration::zero(), release_at_ - now_()));
+    release_timer_.async_wait(
+        [this, alive = alive_](boost::system::error_code ec) {
+            if (*alive && !ec) {
+                release_at_ = time_point::max();
+                on_release_timer();
+            }
+        });
+}
+
+void upstream_links::on_release_timer()
+{
+    auto const now = now_();
+    while (!releases_.empty() && releases_.begin()->first <= now) {
+        auto const it = exchanges_.find(releases_.begin()->second);
+        releases_.erase(releases_.begin());
+        if (it == exchanges_.end()) {
+            continue;
+        }
+        auto const to = it->second.to;
+        it->second.given_up = true;
+        auto const silent = to->silent_for(now);
+        it->second.connection->close();
+        auto const link = links_.find(to.get());
+        if (link != links_.end() &&
+            silent >= fleet_.settings().unreachable_after) {
+            // Only a new connection shows whether it is alive.
+            set_reachable(*link->second, false);
+            connect_later(link->second);
+        }
+    }
+    arm_release();
+}
+
+} // namespace snipemill
--- a/src/adapters/http/client_connection.cpp
+++ b/src/adapters/http/client_connection.cpp
@@ -5,6 +5,9 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include <netinet/tcp.h>
+
+#include <algorithm>
 #include <cassert>
 #include <iterator>
 #include <string_view>
@@ -91,6 +94,9 @@
     if (!ec) {
         socket_.non_blocking(true, ec);
     }
+    if (!ec && silence_limit_ > duration::zero()) {
+        set_silence_limit();
+    }
     if (ec) {
         shut();
     }
@@ -104,6 +110,33 @@
     }
 }
 
+// Probes start after a second of silence, the shortest time that can be set.
+// A platform without these options only loses the early notice.
+void client_connection::set_silence_limit()
+{
+    using user_timeout =
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    using probe_idle =
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using probe_interval =
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using probe_count =
+        asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    auto const ms = static_cast<int>(to_ms(silence_limit_));
+    boost::system::error_code ignored;
+    socket_.set_option(asio::socket_base::keep_alive(true), ignored);
+    socket_.set_option(probe_idle(1), ignored);
+    socket_.set_option(probe_interval(1), ignored);
+    socket_.set_option(probe_count(std::max(1, ms / 1000)), ignored);
+    socket_.set_option(user_timeout(ms), ignored);
+}
+
+void client_connection::expect_echo(std::string header, std::string value)
+{
+    echo_header_ = std::move(header);
+    echo_value_ = std::move(value);
+}
+
 bool client_connection::usable()
 {
     if (state_ != state::idle) {
@@ -160,11 +193,13 @@
 void client_connection::write_rest(std::size_t from)
 {
     sent_ = true;
+    writing_ = true;
     auto const data = std::make_shared<std::string>(request_.substr(from));
     asio::async_write(socket_, asio::buffer(*data),
                       [self = shared_from_this(),
                        data](boost::system::error_code, std::size_t n) {
                           self->count_sent(n);
+                          self->writing_ = false;
                           // The pending read reports a broken connection; a
                           // server may also answer before it has read all.
                       });
@@ -233,7 +268,7 @@
 bool client_connection::feed(boost::system::error_code& ec)
 {
     while (buffer_.size() > 0) {
-        if (parser_->is_done() && !skip_interim()) {
+        if (parser_->is_done() && !skip_foreign()) {
             return true;
         }
         auto const n = parser_->put(buffer_.data(), ec);
@@ -247,15 +282,25 @@
         }
     }
     if (parser_->is_done()) {
-        skip_interim();
+        skip_foreign();
     }
     return true;
 }
 
-// An interim answer (1xx) is followed by the final one.
-bool client_connection::skip_interim()
+bool client_connection::is_foreign() const
+{
+    if (echo_header_.empty()) {
+        return false;
+    }
+    auto const it = parser_->get().find(echo_header_);
+    return it != parser_->get().end() && it->value() != echo_value_;
+}
+
+// An interim answer (1xx) is followed by the final one, and a late answer to
+// an earlier request by the one to this request.
+bool client_connection::skip_foreign()
 {
-    if (parser_->get().result_int() >= 200) {
+    if (parser_->get().result_int() >= 200 && !is_foreign()) {
         return false;
     }
     begin_parser();
@@ -270,7 +315,7 @@
     }
     boost::system::error_code ec;
     parser_->put_eof(ec);
-    if (ec || !parser_->is_done()) {
+    if (ec || !parser_->is_done() || is_foreign()) {
         fail(exchange_fault::truncated);
         return;
     }
@@ -279,7 +324,9 @@
 
 void client_connection::finish()
 {
-    bool const keep = parser_->keep_alive() && buffer_.size() == 0;
+    // A server may answer before it has read the request; the rest of the
+    // request must not become part of the next one.
+    bool const keep = parser_->keep_alive() && buffer_.size() == 0 && !writing_;
     auto message = parser_->release();
     http_response answer{.status = message.result_int(),
                          .content_type =
--- a/src/adapters/http/client_connection.hpp
+++ b/src/adapters/http/client_connection.hpp
@@ -55,6 +55,12 @@
                  std::function<void(bool)> f);
     // f is called when the connection breaks while no exchange is open.
     void on_closed(std::function<void()> f) { on_closed_ = std::move(f); }
+    // Counts the connection as broken when the server does not acknowledge
+    // for this long; 0: the system's default. Before connect().
+    void limit_silence(duration limit) { silence_limit_ = limit; }
+    // Skips answers whose header (lower case) has another value: they belong
+    // to an earlier request. Holds for the next exchange.
+    void expect_echo(std::string header, std::string value);
     // Sends a written request. Only when usable().
     void exchange(std::string request, bool head,
                   std::function<void(exchange_result)> f);
@@ -97,7 +103,9 @@
     void on_read(boost::system::error_code ec, std::size_t n);
     void on_input(std::size_t n);
     bool feed(boost::system::error_code& ec);
-    bool skip_interim();
+    bool skip_foreign();
+    bool is_foreign() const;
+    void set_silence_limit();
     void on_end_of_input();
     void finish();
     void fail(exchange_fault fault);
@@ -112,6 +120,9 @@
     boost::beast::flat_buffer buffer_;
     std::optional<parser> parser_;
     std::string request_;
+    std::string echo_header_;
+    std::string echo_value_;
+    duration silence_limit_{};
     std::function<void(bool)> on_connect_;
     std::function<void(exchange_result)> on_result_;
     std::function<void()> on_closed_;
@@ -122,6 +133,7 @@
     bool head_ = false;
     bool sent_ = false;
     bool answer_started_ = false;
+    bool writing_ = false; // the request is not yet written whole
 };
 
 } // namespace snipemill
--- a/src/adapters/http/client_pool.cpp
+++ b/src/adapters/http/client_pool.cpp
@@ -91,6 +91,7 @@
            all_.size() < options_.max_connections) {
         auto const it = std::make_shared<client_connection>(
             io_, options_.max_body, options_.bytes);
+        it->limit_silence(options_.silence_limit);
         all_.insert(it);
         ++connecting_;
         it->on_closed([weak = weak_from_this(), ptr = it.get()] {
--- a/src/adapters/http/http_client.hpp
+++ b/src/adapters/http/http_client.hpp
@@ -21,7 +21,10 @@
     std::size_t max_connections = 8;
     duration connect_timeout = from_ms(1000);
     std::size_t max_body = 4 * 1024 * 1024; // bytes
-    std::shared_ptr<byte_count> bytes;      // counts here, unless it is null
+    // A server that does not acknowledge for this long counts as lost; 0: the
+    // system's default.
+    duration silence_limit{};
+    std::shared_ptr<byte_count> bytes; // counts here, unless it is null
 };
 
 // The request had no answer; sent tells whether a byte may have left.
--- a/src/adapters/http/http_server.cpp
+++ b/src/adapters/http/http_server.cpp
@@ -41,6 +41,21 @@
     return impl_->port();
 }
 
+void http_server::set_limits(std::size_t max_header, std::size_t max_body,
+                             duration header_timeout, duration idle_timeout)
+{
+    auto& options = impl_->mutable_options();
+    options.max_header = max_header;
+    options.max_body = max_body;
+    options.header_timeout = header_timeout;
+    options.idle_timeout = idle_timeout;
+}
+
+void http_server::refuse_reuse()
+{
+    impl_->refuse_reuse();
+}
+
 void http_server::drain()
 {
     impl_->drain();
@@ -51,6 +66,11 @@
     return impl_->open_requests;
 }
 
+std::size_t http_server::open_connections() const
+{
+    return impl_->open_connections();
+}
+
 std::uint64_t http_server::bad_requests() const
 {
     return impl_->bad_requests;
--- a/src/adapters/http/http_server.hpp
+++ b/src/adapters/http/http_server.hpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -19,8 +20,9 @@
     std::uint16_t port = 0;                    // 0: any free port
     std::size_t max_header = 16 * 1024;        // bytes
     std::size_t max_body = 1024 * 1024;        // bytes
-    duration header_timeout = from_ms(10'000); // to receive a whole request
-    duration idle_timeout = from_ms(60'000);   // between requests
+    duration header_timeout = from_ms(10'000); // to receive a header
+    // Between requests, and between two pieces of a body.
+    duration idle_timeout = from_ms(60'000);
     std::size_t max_connections = 10'000;
     bool reuse_port = false; // several lanes listen on one port
 };
@@ -31,6 +33,7 @@
     std::string target; // path and query string, percent-encoded
     std::vector<std::pair<std::string, std::string>> headers; // lower case
     std::string body;
+    std::chrono::steady_clock::time_point first_byte{}; // its arrival
 
     // Value of a header, empty when it is absent. name is in lower case.
     std::string const& header(std::string const& name) const;
@@ -65,10 +68,16 @@
     http_server& operator=(http_server const&) = delete;
 
     std::uint16_t port() const;
+    // Holds for connections and requests that begin afterwards.
+    void set_limits(std::size_t max_header, std::size_t max_body,
+                    duration header_timeout, duration idle_timeout);
+    // Tells callers with each response to use another connection.
+    void refuse_reuse();
     // Accepts no more connections; open requests are answered, then their
     // connections are closed.
     void drain();
     std::size_t open_requests() const;
+    std::size_t open_connections() const;
     std::uint64_t bad_requests() const;
 
 private:
--- a/src/adapters/http/server_connection.cpp
+++ b/src/adapters/http/server_connection.cpp
@@ -184,6 +184,7 @@
     }
     if (state_ == state::idle) {
         state_ = state::receiving;
+        first_byte_ = std::chrono::steady_clock::now();
         counted_ = true;
         ++core_->open_requests;
         arm(core_->options().header_timeout);
@@ -198,6 +199,7 @@
         return;
     }
     if (parser_->is_header_done()) {
+        arm(core_->options().idle_timeout);
         send_continue();
     }
     read();
@@ -242,7 +244,8 @@
     head_ = message.method() == http::verb::head;
     http_request request{.method = std::string(message.method_string()),
                          .target = std::string(message.target()),
-                         .body = std::move(message.body())};
+                         .body = std::move(message.body()),
+                         .first_byte = first_byte_};
     for (auto const& field : message) {
         request.headers.emplace_back(lower(field.name_string()),
                                      std::string(field.value()));
@@ -271,9 +274,9 @@
         message.set(http::field::content_type, answer.content_type);
     }
     for (auto const& [name, value] : answer.headers) {
-        message.set(name, value);
+        message.insert(name, value);
     }
-    keep_alive_ = keep_alive_ && !core_->draining();
+    keep_alive_ = keep_alive_ && !core_->reuse_refused();
     message.keep_alive(keep_alive_);
     message.body() = std::move(answer.body);
     message.prepare_payload();
--- a/src/adapters/http/server_connection.hpp
+++ b/src/adapters/http/server_connection.hpp
@@ -81,6 +81,7 @@
     std::optional<parser> parser_;
     std::shared_ptr<response> response_;
     std::function<void()> on_gone_;
+    std::chrono::steady_clock::time_point first_byte_{};
     std::uint64_t request_ = 0; // number of the current request
     std::uint64_t timer_generation_ = 0;
     std::size_t discarded_ = 0;
--- a/src/adapters/http/server_core.hpp
+++ b/src/adapters/http/server_core.hpp
@@ -29,7 +29,11 @@
     boost::asio::io_context& io() { return io_; }
     http_server_options const& options() const { return options_; }
     http_handler const& handler() const { return handler_; }
+    http_server_options& mutable_options() { return options_; }
     bool draining() const { return draining_; }
+    void refuse_reuse() { reuse_refused_ = true; }
+    bool reuse_refused() const { return reuse_refused_ || draining_; }
+    std::size_t open_connections() const { return connections_.size(); }
     std::uint16_t port() const { return listener_->port(); }
 
     std::size_t open_requests = 0;
@@ -44,6 +48,7 @@
     std::shared_ptr<accept_loop> listener_;
     std::unordered_set<std::shared_ptr<server_connection>> connections_;
     bool draining_ = false;
+    bool reuse_refused_ = false;
 };
 
 } // namespace snipemill
--- a/src/adapters/logging/logger.cpp
+++ b/src/adapters/logging/logger.cpp
@@ -3,6 +3,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 
+#include <log4cplus/appender.h>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
@@ -71,14 +72,29 @@
                                               : format_text(event, fields);
 }
 
-} // namespace
+// Writes formatted lines to a queue.
+class queue_appender : public log4cplus::Appender
+{
+public:
+    explicit queue_appender(line_queue& lines) : lines_(lines) {}
+    queue_appender(queue_appender const&) = delete;
+    queue_appender& operator=(queue_appender const&) = delete;
+    ~queue_appender() override { destructorImpl(); }
+
+    void close() override { closed = true; }
+
+protected:
+    void append(log4cplus::spi::InternalLoggingEvent const& event) override
+    {
+        lines_.push(formatEvent(event));
+    }
 
-void start_logging(log_format format)
+private:
+    line_queue& lines_;
+};
+
+void set_appender(log_format format, log4cplus::SharedAppenderPtr appender)
 {
-    state().format = format;
-    state().initializer = std::make_unique<log4cplus::Initializer>();
-    log4cplus::SharedAppenderPtr appender(
-        new log4cplus::ConsoleAppender(true, true));
     auto const* pattern =
         format == log_format::json ? json_pattern : text_pattern;
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>(pattern));
@@ -88,6 +104,24 @@
     root.setLogLevel(log4cplus::INFO_LOG_LEVEL);
 }
 
+} // namespace
+
+void start_logging(log_format format)
+{
+    state().format = format;
+    state().initializer = std::make_unique<log4cplus::Initializer>();
+    set_appender(format, log4cplus::SharedAppenderPtr(
+                             new log4cplus::ConsoleAppender(true, true)));
+}
+
+void start_logging(log_format format, line_queue& lines)
+{
+    state().format = format;
+    state().initializer = std::make_unique<log4cplus::Initializer>();
+    set_appender(format,
+                 log4cplus::SharedAppenderPtr(new queue_appender(lines)));
+}
+
 void stop_logging()
 {
     state().initializer.reset();
--- a/src/adapters/logging/logger.hpp
+++ b/src/adapters/logging/logger.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/logging/line_queue.hpp"
 #include "adapters/settings/host_settings.hpp"
 
 #include <initializer_list>
@@ -15,6 +16,10 @@
 // Sets up log4cplus to write to standard error. Call once per process.
 void start_logging(log_format format);
 
+// The same with standard output through a queue, which must outlive the
+// logging: a full pipe then costs lines and never blocks a thread.
+void start_logging(log_format format, line_queue& lines);
+
 // Flushes and stops log4cplus.
 void stop_logging();
 
--- a/src/adapters/platform/platform_calls.cpp
+++ b/src/adapters/platform/platform_calls.cpp
@@ -20,9 +20,6 @@
 // Answers hold values of up to 1 MB each; a listing holds several.
 constexpr std::size_t max_answer = 64 * 1024 * 1024;
 
-// Any answer to this call, also 404, shows that the platform works.
-constexpr std::string_view trial_target = "/objects/config%2Fhead";
-
 http_client_options client_options(platform_client_options const& options,
                                    std::size_t connections,
                                    std::shared_ptr<byte_count> bytes)
@@ -32,6 +29,7 @@
             .max_connections = connections,
             .connect_timeout = options.call_timeout,
             .max_body = max_answer,
+            .silence_limit = options.silence_limit,
             .bytes = std::move(bytes)};
 }
 
@@ -140,6 +138,9 @@
         if (answer->status == 404) {
             return platform_error::not_found;
         }
+        if (answer->status == 410) {
+            return platform_error::history_gone;
+        }
         if (answer->status == 412) {
             return platform_error::conflict;
         }
@@ -202,7 +203,7 @@
 void platform_calls::send_trial()
 {
     ++counters.gets;
-    client_->send({.method = "GET", .target = std::string(trial_target)},
+    client_->send({.method = "GET", .target = options_.trial_target},
                   options_.call_timeout,
                   [self = shared_from_this()](http_result const& result) {
                       if (self->stopped_ || self->breaker_.closed()) {
--- a/src/adapters/platform/platform_client.hpp
+++ b/src/adapters/platform/platform_client.hpp
@@ -24,6 +24,12 @@
     duration breaker_open = from_ms(1000); // first time; doubles
     duration breaker_max = from_ms(10'000);
     std::size_t max_connections = 8;
+    // Call that shows whether the platform works again; any answer below 500
+    // does, also 404.
+    std::string trial_target = "/objects/config%2Fhead";
+    // Peers that do not acknowledge for this long count as lost; 0: the
+    // system's default.
+    duration silence_limit{};
 };
 
 struct platform_counters
--- /dev/null
+++ b/src/adapters/settings/forward_settings.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "adapters/settings/host_settings.hpp"
+#include "core/forward/repeat_budget.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace snipemill {
+
+struct listen_address
+{
+    std::string ip;
+    std::uint16_t port = 0;
+
+    friend bool operator==(listen_address const&,
+                           listen_address const&) = default;
+};
+
+// Everything that one forwarding host learns from its settings file.
+struct forward_settings
+{
+    std::string name;
+    std::string data_centre;
+    listen_address callers;
+    listen_address readiness;
+    listen_address metrics;
+    listen_address store;
+    repeat_budget_settings repeats;
+    // Hosts that are assumed to share the connections of an upstream.
+    std::uint32_t hosts = 8;
+    duration leave_within = from_ms(3000); // upstreams that leave get no work
+    duration stop_within = from_ms(6000);  // after SIGTERM the host is killed
+
+    friend bool operator==(forward_settings const&,
+                           forward_settings const&) = default;
+};
+
+using forward_settings_result =
+    std::variant<forward_settings, std::vector<settings_fault>>;
+
+// Reads and checks a settings file as a whole; reports every fault found.
+forward_settings_result parse_forward_settings(std::string_view text);
+
+// Reads the file. A file that cannot be read is reported as a fault.
+forward_settings_result load_forward_settings(std::string const& path);
+
+} // namespace snipemill
--- /dev/null
+++ b/src/app/forward/forward_control.cpp
@@ -0,0 +1,212 @@
+#include "app/forward/forward_control.hpp"
+
+#include "adapters/logging/logger.hpp"
+#include "app/core_time.hpp"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace snipemill {
+
+namespace {
+
+// A watch that waits longer saves calls, one that waits less finds a store
+// that has gone silent sooner. Changes must be in force within 3 s of the
+// moment at which a host can reach the store for 4 s.
+constexpr duration watch_wait = from_ms(4000);
+
+// Delay after failed calls; doubles, is spread by half, and stays below a
+// second so that changes made right after an outage are seen in time.
+constexpr duration first_retry = from_ms(60);
+constexpr duration longest_retry = from_ms(800);
+
+// Part of the bound for leaving upstreams for which a vanished entry is used.
+constexpr double hold_share = 0.66;
+
+template <class... F>
+struct overloaded : F...
+{
+    using F::operator()...;
+};
+
+store_mirror_settings mirror_settings(forward_settings const& from)
+{
+    store_mirror_settings out;
+    auto const share =
+        std::chrono::duration_cast<duration>(from.leave_within * hold_share);
+    out.missing_hold = std::min(out.missing_hold, share);
+    out.known_hold = std::min(out.known_hold, share);
+    return out;
+}
+
+} // namespace
+
+forward_control::forward_control(boost::asio::io_context& io,
+                                 forward_settings const& settings,
+                                 store_port& store, publish_callback publish)
+    : io_(io), store_(store), publish_(std::move(publish)),
+      random_(std::random_device()()), expiry_(io)
+{
+    auto const mirror = mirror_settings(settings);
+    for (std::size_t i = 0; i < followers_.size(); ++i) {
+        followers_[i] =
+            std::make_unique<follower>(io, store_kind_names[i].first, mirror);
+    }
+}
+
+void forward_control::start()
+{
+    for (auto& it : followers_) {
+        call(*it);
+    }
+}
+
+void forward_control::store_returned()
+{
+    for (auto& it : followers_) {
+        if (it->waiting) {
+            it->timer.cancel();
+        }
+    }
+}
+
+void forward_control::call(follower& it)
+{
+    std::visit(
+        overloaded{
+            [&](list_action const& action) {
+                store_.list(it.kind, action.after, [this, &it](auto result) {
+                    if (auto* page = std::get_if<store_page>(&result)) {
+                        it.mirror.on_page(std::move(*page), core_now());
+                        on_done(it, true);
+                        return;
+                    }
+                    on_failed(it, std::get<store_error>(result));
+                });
+            },
+            [&](watch_action const& action) {
+                store_.watch(
+                    it.kind, action.revision, watch_wait,
+                    [this, &it](auto result) {
+                        if (auto* events = std::get_if<store_events>(&result)) {
+                            bool const changed = !events->events.empty();
+                            it.mirror.on_events(std::move(*events), core_now());
+                            on_done(it, changed);
+                            return;
+                        }
+                        on_failed(it, std::get<store_error>(result));
+                    });
+            }},
+        it.mirror.next());
+}
+
+void forward_control::on_done(follower& it, bool changed)
+{
+    if (it.failures > 1) {
+        log_info("store_regained",
+                 {{"kind", name_of(store_kind_names, it.kind)},
+                  {"failed_calls", std::to_string(it.failures)},
+                  {"revision", std::to_string(it.mirror.revision())}});
+    }
+    it.failures = 0;
+    if (changed) {
+        publish();
+    }
+    call(it);
+}
+
+void forward_control::on_failed(follower& it, store_error error)
+{
+    ++it.failures;
+    it.mirror.on_error(error, it.failures);
+    if (it.failures == 2 || error == store_error::history_gone) {
+        log_info(error == store_error::history_gone ? "store_history_gone"
+                                                    : "store_lost",
+                 {{"kind", name_of(store_kind_names, it.kind)},
+                  {"error", name_of(store_error_names, error)},
+                  {"revision", std::to_string(it.mirror.revision())}});
+    }
+    if (error == store_error::history_gone) {
+        it.failures = 0;
+        call(it);
+        return;
+    }
+    it.waiting = true;
+    it.timer.expires_after(retry_delay(it.failures));
+    it.timer.async_wait([this, &it](boost::system::error_code) {
+        it.waiting = false;
+        call(it);
+    });
+}
+
+duration forward_control::retry_delay(std::uint32_t failures)
+{
+    auto const doubled = first_retry * (1U << std::min(failures - 1, 10U));
+    auto const delay = std::min(doubled, longest_retry);
+    return std::chrono::duration_cast<duration>(delay *
+                                                (0.5 + 0.5 * random_.unit()));
+}
+
+// Only a higher version replaces the one in force.
+void forward_control::adopt(store_value const& value)
+{
+    auto const* const next =
+        std::get_if<std::shared_ptr<manifest const>>(&value);
+    if (!next || (current_ && (*next)->version <= current_->state->version)) {
+        return;
+    }
+    auto const before = current_ ? current_->state->version : 0;
+    current_ = std::make_shared<indexed_manifest const>(*next);
+    log_info("manifest_adopted",
+             {{"version", std::to_string((*next)->version)},
+              {"previous", std::to_string(before)},
+              {"routes", std::to_string((*next)->routes.size())},
+              {"revision", std::to_string(followers_[0]->mirror.revision())}});
+}
+
+void forward_control::publish()
+{
+    auto const out = std::make_shared<forward_snapshot>();
+    auto& [manifests, upstreams, evacuations] = followers_;
+    manifests->mirror.for_each(
+        [this](std::string const&, store_value const& it) { adopt(it); });
+    out->current = current_;
+    upstreams->mirror.for_each([&](std::string const&, store_value const& it) {
+        if (auto const* const record = std::get_if<upstream_record>(&it)) {
+            out->upstreams.push_back(*record);
+        }
+    });
+    evacuations->mirror.for_each(
+        [&](std::string const& name, store_value const&) {
+            out->evacuated.insert(name);
+        });
+    out->complete = upstreams->mirror.ready() && evacuations->mirror.ready() &&
+                    current_ != nullptr;
+    out->upstreams_revision = upstreams->mirror.revision();
+    publish_(out);
+    arm_expiry();
+}
+
+void forward_control::arm_expiry()
+{
+    auto& mirror = followers_[1]->mirror;
+    auto const at = mirror.next_expiry();
+    if (!at) {
+        return;
+    }
+    expiry_.expires_after(std::max(duration::zero(), *at - core_now()));
+    expiry_.async_wait([this, &mirror](boost::system::error_code ec) {
+        if (ec) {
+            return;
+        }
+        if (mirror.expire(core_now())) {
+            publish();
+        }
+        else {
+            arm_expiry();
+        }
+    });
+}
+
+} // namespace snipemill
--- /dev/null
+++ b/src/app/forward/forward_control.hpp
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "adapters/settings/forward_settings.hpp"
+#include "app/forward/forward_snapshot.hpp"
+#include "core/base/rng.hpp"
+#include "core/forward/store_mirror.hpp"
+#include "ports/store_port.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <array>
+#include <functional>
+#include <memory>
+
+namespace snipemill {
+
+// Follows the platform's store and publishes what is in force. Service goes on
+// with the last state while the store is away.
+class forward_control
+{
+public:
+    using publish_callback =
+        std::function<void(std::shared_ptr<forward_snapshot const>)>;
+
+    forward_control(boost::asio::io_context& io,
+                    forward_settings const& settings, store_port& store,
+                    publish_callback publish);
+    forward_control(forward_control const&) = delete;
+    forward_control& operator=(forward_control const&) = delete;
+
+    void start();
+    // The store works again after an outage.
+    void store_returned();
+
+private:
+    struct follower
+    {
+        follower(boost::asio::io_context& io, store_kind k,
+                 store_mirror_settings const& settings)
+            : kind(k), mirror(settings), timer(io)
+        {}
+
+        store_kind kind;
+        store_mirror mirror;
+        boost::asio::steady_timer timer;
+        std::uint32_t failures = 0; // in a row
+        bool waiting = false;       // for the timer
+    };
+
+    void call(follower& it);
+    void on_done(follower& it, bool changed);
+    void on_failed(follower& it, store_error error);
+    duration retry_delay(std::uint32_t failures);
+    void adopt(store_value const& value);
+    void publish();
+    void arm_expiry();
+
+    boost::asio::io_context& io_;
+    store_port& store_;
+    publish_callback publish_;
+    rng random_;
+    std::array<std::unique_ptr<follower>, 3> followers_;
+    boost::asio::steady_timer expiry_;
+    std::shared_ptr<indexed_manifest const> current_;
+};
+
+} // namespace snipemill
--- /dev/null
+++ b/src/app/forward/forward_host.cpp
@@ -0,0 +1,222 @@
+#include "app/forward/forward_host.hpp"
+
+#include "adapters/logging/logger.hpp"
+#include "app/core_time.hpp"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <thread>
+#include <utility>
+
+namespace snipemill {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// A balancer that asks each second takes a host out after two misses; until
+// then new connections arrive.
+constexpr duration accept_after_signal = from_ms(2600);
+
+// Left of the time before the host is killed.
+constexpr duration stop_margin = from_ms(600);
+
+constexpr auto idle_poll = std::chrono::milliseconds(50);
+
+// The settings file may change without a signal.
+constexpr auto settings_poll = std::chrono::seconds(2);
+
+// Lines reach the log at most this much later.
+constexpr auto log_flush = std::chrono::milliseconds(250);
+
+std::int64_t change_time(std::string const& file)
+{
+    std::error_code ec;
+    auto const time = std::filesystem::last_write_time(file, ec);
+    return ec ? 0 : time.time_since_epoch().count();
+}
+
+} // namespace
+
+forward_host::forward_host(forward_settings settings, std::string settings_file,
+                           forward_platform const& platform, line_queue& log)
+    : settings_(std::move(settings)), settings_file_(std::move(settings_file)),
+      log_(log), signals_(control_io_, SIGINT, SIGTERM, SIGHUP),
+      leave_timer_(control_io_), settings_timer_(control_io_),
+      log_timer_(control_io_)
+{
+    traffic_ = std::make_unique<forward_traffic>(traffic_io_, settings_,
+                                                 *platform.headers, metrics_);
+    store_ = platform.make_store(
+        control_io_, settings_.store, [this](bool reachable) {
+            log_info(reachable ? "store_reachable" : "store_unreachable",
+                     {{"address", settings_.store.ip}});
+            if (reachable && control_) {
+                control_->store_returned();
+            }
+        });
+    control_ = std::make_unique<forward_control>(
+        control_io_, settings_, *store_,
+        [this](std::shared_ptr<forward_snapshot const> snapshot) {
+            asio::post(traffic_io_, [this, snapshot = std::move(snapshot)] {
+                traffic_->adopt(snapshot);
+            });
+        });
+    operators_ = std::make_unique<http_server>(
+        control_io_,
+        http_server_options{.ip = settings_.metrics.ip,
+                            .port = settings_.metrics.port,
+                            .max_connections = 20},
+        [this](http_request const&,
+               http_responder const& f) -> std::function<void()> {
+            asio::post(traffic_io_, [this, f] {
+                traffic_->report();
+                metrics_.set_counter("log_lines_dropped", log_.dropped());
+                asio::post(control_io_, [this, f] {
+                    f({.content_type = "text/plain; version=0.0.4",
+                       .body = metrics_.text()});
+                });
+            });
+            return nullptr;
+        });
+    settings_time_ = change_time(settings_file_);
+}
+
+forward_host::~forward_host() = default;
+
+bool forward_host::run()
+{
+    log_info("started", {{"host", settings_.name},
+                         {"data_centre", settings_.data_centre}});
+    control_->start();
+    wait_signal();
+    watch_settings();
+    flush_log();
+    auto const work = asio::make_work_guard(traffic_io_);
+    std::jthread const traffic([this] { traffic_io_.run(); });
+    control_io_.run();
+    traffic_io_.stop();
+    return clean_;
+}
+
+void forward_host::flush_log()
+{
+    log_.flush();
+    log_timer_.expires_after(log_flush);
+    log_timer_.async_wait([this](boost::system::error_code ec) {
+        if (!ec) {
+            flush_log();
+        }
+    });
+}
+
+void forward_host::wait_signal()
+{
+    signals_.async_wait([this](boost::system::error_code ec, int number) {
+        if (!ec) {
+            wait_signal();
+            on_signal(number);
+        }
+    });
+}
+
+void forward_host::on_signal(int number)
+{
+    if (number == SIGHUP) {
+        reload();
+        return;
+    }
+    if (leaving_) {
+        return;
+    }
+    start_leaving();
+}
+
+void forward_host::watch_settings()
+{
+    settings_timer_.expires_after(settings_poll);
+    settings_timer_.async_wait([this](boost::system::error_code ec) {
+        if (ec) {
+            return;
+        }
+        if (change_time(settings_file_) != settings_time_) {
+            reload();
+        }
+        watch_settings();
+    });
+}
+
+// Takes over what can change while the host runs. Addresses and the name hold
+// for the life of the process.
+void forward_host::reload()
+{
+    settings_time_ = change_time(settings_file_);
+    auto result = load_forward_settings(settings_file_);
+    if (auto const* const faults =
+            std::get_if<std::vector<settings_fault>>(&result)) {
+        log_error("settings_refused", {{"file", settings_file_},
+                                       {"reason", faults->front().reason}});
+        return;
+    }
+    auto const& next = std::get<forward_settings>(result);
+    bool const same =
+        next.callers == settings_.callers && next.store == settings_.store;
+    log_info("settings_reloaded", {{"file", settings_file_},
+                                   {"addresses", same ? "same" : "ignored"}});
+    asio::post(traffic_io_, [this, repeats = next.repeats] {
+        traffic_->set_repeats(repeats);
+    });
+}
+
+// Readiness falls first; callers are accepted until the balancer has noticed,
+// and each answer asks them to use another connection.
+void forward_host::start_leaving()
+{
+    leaving_ = true;
+    log_info("leaving", {{"host", settings_.name}});
+    leave_end_ = core_now() + settings_.stop_within - stop_margin;
+    asio::post(traffic_io_, [this] { traffic_->start_leaving(); });
+    leave_timer_.expires_after(
+        std::min(accept_after_signal, settings_.stop_within / 2));
+    leave_timer_.async_wait([this](boost::system::error_code ec) {
+        if (!ec) {
+            asio::post(traffic_io_, [this] { traffic_->drain(); });
+            wait_idle();
+        }
+    });
+}
+
+void forward_host::wait_idle()
+{
+    leave_timer_.expires_after(idle_poll);
+    leave_timer_.async_wait([this](boost::system::error_code ec) {
+        if (ec) {
+            return;
+        }
+        asio::post(traffic_io_, [this] {
+            bool const idle = traffic_->idle();
+            asio::post(control_io_, [this, idle] {
+                if (idle || core_now() >= leave_end_) {
+                    stop(idle);
+                    return;
+                }
+                wait_idle();
+            });
+        });
+    });
+}
+
+void forward_host::stop(bool clean)
+{
+    clean_ = clean;
+    log_info("stopped", {{"host", settings_.name},
+                         {"open_requests", clean ? "none" : "cut off"}});
+    log_.flush();
+    control_io_.stop();
+}
+
+} // namespace snipemill
--- /dev/null
+++ b/src/app/forward/forward_host.hpp
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "adapters/forward/forward_headers.hpp"
+#include "adapters/http/http_server.hpp"
+#include "adapters/logging/line_queue.hpp"
+#include "adapters/settings/forward_settings.hpp"
+#include "app/forward/forward_control.hpp"
+#include "app/forward/forward_metrics.hpp"
+#include "app/forward/forward_traffic.hpp"
+#include "ports/store_port.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace snipemill {
+
+// How a forwarding host meets the platform that it runs on.
+struct forward_platform
+{
+    // Makes the store's client; the callback tells of its loss and return.
+    std::function<std::unique_ptr<store_port>(
+        boost::asio::io_context& io, listen_address const& address,
+        std::function<void(bool reachable)> on_state)>
+        make_store;
+    forward_headers const* headers = nullptr;
+};
+
+// A host that forwards requests to upstreams itself, without peers: one thread
+// follows the store, one serves callers.
+class forward_host
+{
+public:
+    forward_host(forward_settings settings, std::string settings_file,
+                 forward_platform const& platform, line_queue& log);
+    ~forward_host();
+    forward_host(forward_host const&) = delete;
+    forward_host& operator=(forward_host const&) = delete;
+
+    // Serves until SIGTERM or SIGINT. Returns whether every request that was
+    // open then has been answered.
+    bool run();
+
+private:
+    void wait_signal();
+    void on_signal(int number);
+    void reload();
+    void watch_settings();
+    void start_leaving();
+    void wait_idle();
+    void stop(bool clean);
+    void flush_log();
+
+    forward_settings settings_;
+    std::string settings_file_;
+    line_queue& log_;
+    boost::asio::io_context control_io_{1};
+    boost::asio::io_context traffic_io_{1};
+    forward_metrics metrics_;
+    std::unique_ptr<forward_traffic> traffic_;
+    std::unique_ptr<store_port> store_;
+    std::unique_ptr<forward_control> control_;
+    std::unique_ptr<http_server> operators_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer leave_timer_;
+    boost::asio::steady_timer settings_timer_;
+    boost::asio::steady_timer log_timer_;
+    std::int64_t settings_time_ = 0;
+    time_point leave_end_{};
+    bool leaving_ = false;
+    bool clean_ = false;
+};
+
+} // namespace snipemill
--- /dev/null
+++ b/src/app/forward/forward_metrics.hpp
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <cstdint>
+#include <string>
+
+namespace snipemill {
+
+// Counters and latency histograms of a forwarding host. Callable from any
+// thread.
+class forward_metrics
+{
+public:
+    forward_metrics();
+    forward_metrics(forward_metrics const&) = delete;
+    forward_metrics& operator=(forward_metrics const&) = delete;
+
+    void request_ended(std::string const& route, unsigned status,
+                       double seconds);
+    void set_counter(std::string const& name, std::uint64_t value);
+    void set_gauge(std::string const& name, double value);
+
+    // Prometheus text of all metrics.
+    std::string text() const;
+
+private:
+    prometheus::Registry registry_;
+    prometheus::Family<prometheus::Counter>& requests_;
+    prometheus::Family<prometheus::Histogram>& latency_;
+};
+
+} // namespace snipemill
--- /dev/null
+++ b/src/app/forward/forward_snapshot.hpp
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/forward/manifest.hpp"
+#include "core/forward/route_index.hpp"
+#include "core/forward/upstream_record.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace snipemill {
+
+// A manifest with the index of its routes.
+struct indexed_manifest
+{
+    explicit indexed_manifest(std::shared_ptr<manifest const> from)
+        : state(std::move(from)), routes(*state)
+    {}
+
+    std::shared_ptr<manifest const> state;
+    route_index routes;
+};
+
+// What the control thread hands over to the traffic thread.
+struct forward_snapshot
+{
+    std::shared_ptr<indexed_manifest const> current; // null: none is known
+    std::vector<upstream_record> upstreams;
+    std::set<std::string> evacuated;
+    bool complete = false; // every kind has been read once
+    std::uint64_t upstreams_revision = 0;
+};
+
+} // namespace snipemill
--- a/src/app/lane_submits.cpp
+++ b/src/app/lane_submits.cpp
@@ -38,6 +38,7 @@
             break;
         case platform_error::not_sent:
         case platform_error::refused:
+        case platform_error::history_gone: // of watches only
             outcome = claim_write::not_sent;
             break;
         }
--- a/src/cli/commands.hpp
+++ b/src/cli/commands.hpp
@@ -15,6 +15,8 @@
 // Each command takes its own name as argv[0] and returns an exit code.
 leaf::result<int> run_serve(int argc, char** argv);
 leaf::result<int> run_check_config(int argc, char** argv);
+leaf::result<int> run_forward(int argc, char** argv);
+leaf::result<int> run_check_forward(int argc, char** argv);
 leaf::result<int> run_query(int argc, char** argv);
 leaf::result<int> run_submit(int argc, char** argv);
 leaf::result<int> run_status(int argc, char** argv);
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -18,9 +18,11 @@
     std::string_view summary;
 };
 
-constexpr std::array<command, 9> commands{{
+constexpr std::array<command, 11> commands{{
     {"serve", run_serve, "run an entry host"},
     {"check-config", run_check_config, "check a settings file"},
+    {"forward", run_forward, "run a host that forwards by itself"},
+    {"check-forward", run_check_forward, "check a forwarding host's settings"},
     {"query", run_query, "send a query to an entry host"},
     {"submit", run_submit, "send a request that may not be repeated"},
     {"status", run_status, "show the state of the fleet"},
--- /dev/null
+++ b/src/core/forward/part_fetch.hpp
@@ -0,0 +1,164 @@
+#pragma once
+
+#include "core/forward/exchange.hpp"
+#include "core/forward/manifest.hpp"
+#include "core/forward/repeat_budget.hpp"
+#include "core/forward/route_latency.hpp"
+#include "core/forward/upstream_fleet.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace snipemill {
+
+struct part_fetch_settings
+{
+    // Part of the objective after which a second upstream is asked while the
+    // latency of a route is not known.
+    double first_hedge = 0.25;
+    // Bounds of the time until a second upstream is asked: below 3 ms most
+    // answers are on their way; above 0.4 of the objective a second answer
+    // would be late.
+    duration min_hedge = from_ms(3);
+    double max_hedge = 0.4;
+    // Pause before an upstream that refused is asked again: a few service
+    // times of a short request.
+    duration retry_pause = from_ms(15);
+    // Sends of one part, refused ones included.
+    std::uint32_t max_sends = 4;
+    // Time for which an exchange that nobody waits for may still end: longer
+    // than the pauses of upstreams (150 ms), and below half a second, after
+    // which work for a caller that has left counts as a fault.
+    duration release_grace = from_ms(350);
+    // An exchange that cannot end in this time is not begun.
+    duration min_time = from_ms(2);
+};
+
+// What all fetches of a host share. Outlives them.
+struct fetch_shared
+{
+    upstream_fleet& fleet;
+    exchange_port& exchanges;
+    part_fetch_settings settings;
+    repeat_budget_settings budget_settings;
+    std::unordered_map<std::string, repeat_budget> budgets;   // by service
+    std::unordered_map<std::string, route_latency> latencies; // by route
+    std::function<time_point()> now;
+    std::uint64_t hedges = 0;
+    std::uint64_t retries = 0;
+    std::uint64_t budget_refusals = 0;
+
+    repeat_budget& budget(std::string const& service)
+    {
+        return budgets.try_emplace(service, budget_settings).first->second;
+    }
+};
+
+enum class fetch_fault : std::uint8_t
+{
+    no_upstream, // none of the service may be used
+    saturated,   // all have as many requests as they may get
+    refused,     // each upstream that was asked refused
+    failed,      // the upstream's failure is the answer
+    lost,        // sent, and no whole answer came
+};
+
+inline constexpr name_table<fetch_fault, 5> fetch_fault_names{{
+    {fetch_fault::no_upstream, "no_upstream"},
+    {fetch_fault::saturated, "saturated"},
+    {fetch_fault::refused, "refused"},
+    {fetch_fault::failed, "failed"},
+    {fetch_fault::lost, "lost"},
+}};
+
+struct fetch_failure
+{
+    fetch_fault fault = fetch_fault::no_upstream;
+    std::optional<upstream_answer> answer; // with fault failed
+};
+
+using fetch_result = std::variant<upstream_answer, fetch_failure>;
+
+// Gets one good answer to a request from the upstreams of one service: chooses
+// replicas, hedges, and retries. A request that may run at most once is only
+// sent again when it is certain that it did not run.
+class part_fetch
+{
+public:
+    struct options
+    {
+        fetch_shared* shared = nullptr;
+        forward_route const* route = nullptr;
+        std::string const* service = nullptr;
+        std::shared_ptr<forward_request const> request;
+        time_point end{}; // no exchange lasts longer
+        std::function<void()> on_done;
+        std::function<void()> on_wake_changed; // wake() became earlier
+    };
+
+    explicit part_fetch(options o);
+    ~part_fetch();
+    part_fetch(part_fetch const&) = delete;
+    part_fetch& operator=(part_fetch const&) = delete;
+
+    void start();
+    // Lets go of exchanges that are still open.
+    void stop();
+    // Time of the next step, if there is one.
+    std::optional<time_point> wake() const;
+    void on_wake(time_point now);
+
+    bool done() const { return result_.has_value(); }
+    fetch_result& result() { return *result_; }
+    // Whether an upstream may have begun to run the request.
+    bool may_have_run() const { return runs_ > 0; }
+    bool offered() const { return sends_ > 0; }
+    std::uint32_t sends() const { return sends_; }
+    std::uint32_t hedges() const { return hedges_; }
+
+private:
+    struct attempt
+    {
+        upstream_ptr to;
+        exchange_id id = 0;
+        time_point start{};
+        bool open = true;
+        bool overdue = false; // has been reported so
+    };
+
+    upstream_ptr choose(time_point now, no_choice& why);
+    void send(upstream_ptr to, time_point now);
+    void send_again(repeat_budget::use use, time_point now);
+    void on_outcome(std::size_t attempt, exchange_outcome outcome);
+    void on_answer(attempt const& it, upstream_answer&& answer, time_point now);
+    void good_answer(attempt const& it, upstream_answer&& answer,
+                     time_point now);
+    void after_failure(time_point now);
+    bool may_send_again(time_point now) const;
+    void schedule_hedge(time_point now);
+    void finish(fetch_result result);
+    std::size_t open_attempts() const;
+    bool idempotent() const { return o_.route->kind == repetition::idempotent; }
+
+    options o_;
+    std::vector<attempt> attempts_;
+    std::vector<upstream_ptr> tried_;
+    std::optional<fetch_result> result_;
+    fetch_failure failure_; // of the last failed attempt
+    std::optional<time_point> hedge_at_;
+    std::optional<time_point> retry_at_;
+    std::uint32_t sends_ = 0; // that may have arrived
+    std::uint32_t runs_ = 0;  // attempts that may have run
+    std::uint32_t hedges_ = 0;
+    std::uint32_t connect_failures_ = 0;
+    // Exchanges that outlive the fetch find it gone.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace snipemill
--- /dev/null
+++ b/src/core/forward/part_merge.cpp
@@ -0,0 +1,32 @@
+#include "core/forward/part_merge.hpp"
+
+#include <algorithm>
+#include <cassert>
+
+namespace snipemill {
+
+std::string merge_parts(std::vector<std::string_view> const& parts,
+                        std::size_t record_bytes, std::size_t top)
+{
+    assert(record_bytes > 0);
+    std::vector<std::string_view> records;
+    for (auto const part : parts) {
+        for (std::size_t at = 0; at + record_bytes <= part.size();
+             at += record_bytes) {
+            records.push_back(part.substr(at, record_bytes));
+        }
+    }
+    auto const n = std::min(top, records.size());
+    // string_view compares bytes as unsigned values.
+    std::partial_sort(records.begin(),
+                      records.begin() + static_cast<std::ptrdiff_t>(n),
+                      records.end(), std::greater<>());
+    std::string out;
+    out.reserve(n * record_bytes);
+    for (std::size_t i = 0; i < n; ++i) {
+        out.append(records[i]);
+    }
+    return out;
+}
+
+} // namespace snipemill
--- /dev/null
+++ b/src/core/forward/route_latency.hpp
@@ -0,0 +1,26 @@
+#pragma once
+
+#include "core/base/time.hpp"
+#include "core/query/latency_quantile.hpp"
+
+namespace snipemill {
+
+// Learned latency of the exchanges of one route.
+class route_latency
+{
+public:
+    void add(duration latency);
+    // Mean of late; 0 until there is a sample.
+    duration mean() const { return mean_; }
+    // The quantile after which a second upstream is asked; `unknown` until
+    // there are enough samples.
+    duration hedge_delay(duration unknown) const;
+
+private:
+    latency_quantile histogram_;
+    duration mean_{};
+    duration quantile_{};
+    unsigned since_update_ = 0;
+};
+
+} // namespace snipemill
--- /dev/null
+++ b/src/core/forward/store_mirror.cpp
@@ -0,0 +1,130 @@
+#include "core/forward/store_mirror.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace snipemill {
+
+namespace {
+
+// One failed call may be a cut connection; more show that the store is away.
+constexpr std::uint32_t outage_failures = 2;
+
+// An upstream that has announced its leave, and entries of other kinds, are
+// dropped at once when they vanish.
+bool vanishes_slowly(store_value const& value)
+{
+    auto const* const record = std::get_if<upstream_record>(&value);
+    return record && !record->draining;
+}
+
+} // namespace
+
+mirror_action store_mirror::next() const
+{
+    if (listing_) {
+        return list_action{.after = after_};
+    }
+    return watch_action{.revision = revision_};
+}
+
+void store_mirror::put(store_entry&& entry)
+{
+    entries_[std::move(entry.name)] = {.value = std::move(entry.value),
+                                       .generation = generation_};
+}
+
+void store_mirror::remove(std::string const& name, time_point until)
+{
+    auto const it = entries_.find(name);
+    if (it == entries_.end()) {
+        return;
+    }
+    if (!vanishes_slowly(it->second.value)) {
+        entries_.erase(it);
+        return;
+    }
+    if (!it->second.held_until) {
+        it->second.held_until = until;
+    }
+}
+
+void store_mirror::on_page(store_page&& page, time_point now)
+{
+    if (after_.empty()) {
+        first_revision_ = page.revision;
+    }
+    for (auto& it : page.entries) {
+        after_ = it.name;
+        put(std::move(it));
+    }
+    if (page.truncated && !after_.empty()) {
+        return;
+    }
+    auto const until = outage_ || !listed_
+                           ? now + settings_.missing_hold
+                           : std::min(now + settings_.missing_hold,
+                                      known_until_ + settings_.known_hold);
+    std::vector<std::string> vanished;
+    for (auto const& [name, it] : entries_) {
+        if (it.generation != generation_) {
+            vanished.push_back(name);
+        }
+    }
+    for (auto const& name : vanished) {
+        remove(name, until);
+    }
+    // Changes between the pages are repeated by the watch.
+    revision_ = first_revision_;
+    listing_ = false;
+    listed_ = true;
+    outage_ = false;
+    known_until_ = now;
+}
+
+void store_mirror::on_events(store_events&& events, time_point now)
+{
+    for (auto& it : events.events) {
+        if (it.deleted) {
+            remove(it.entry.name, now + settings_.missing_hold);
+        }
+        else {
+            put(std::move(it.entry));
+        }
+    }
+    revision_ = std::max(revision_, events.revision);
+    outage_ = false;
+    known_until_ = now;
+}
+
+void store_mirror::on_error(store_error error, std::uint32_t failures)
+{
+    if (failures >= outage_failures) {
+        outage_ = true;
+    }
+    if (error == store_error::history_gone || listing_) {
+        listing_ = true;
+        after_.clear();
+        ++generation_;
+    }
+}
+
+bool store_mirror::expire(time_point now)
+{
+    return std::erase_if(entries_, [now](auto const& it) {
+               return it.second.held_until && *it.second.held_until <= now;
+           }) > 0;
+}
+
+std::optional<time_point> store_mirror::next_expiry() const
+{
+    std::optional<time_point> out;
+    for (auto const& [name, it] : entries_) {
+        if (it.held_until && (!out || *it.held_until < *out)) {
+            out = it.held_until;
+        }
+    }
+    return out;
+}
+
+} // namespace snipemill
--- /dev/null
+++ b/src/core/forward/upstream_fleet.cpp
@@ -0,0 +1,214 @@
+#include "core/forward/upstream_fleet.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace snipemill {
+
+namespace {
+
+// A cold upstream takes about this much longer than a warm one.
+constexpr double cold_slowness = 1.6;
+
+// Scores of suspects start here, above those of all others.
+constexpr double suspect_score = 1000;
+
+// Scores closer than this are equal; chance decides between them.
+constexpr double score_noise = 0.1;
+
+// Whether two records describe one lifetime of one upstream.
+bool same_lifetime(upstream_record const& a, upstream_record const& b)
+{
+    return a.instance == b.instance && a.ip == b.ip && a.port == b.port &&
+           a.service == b.service && a.started_ms == b.started_ms;
+}
+
+bool contains(std::vector<upstream_ptr> const* list, upstream_ptr const& it)
+{
+    return list && std::find(list->begin(), list->end(), it) != list->end();
+}
+
+} // namespace
+
+upstream_fleet::upstream_fleet(upstream_fleet_settings settings,
+                               std::uint64_t seed)
+    : settings_(std::move(settings)), random_(seed)
+{}
+
+upstream_fleet::changes
+upstream_fleet::update(std::vector<upstream_record> const& records,
+                       std::set<std::string> const& evacuated, time_point now)
+{
+    std::unordered_map<std::string, upstream_ptr> known;
+    for (auto const& it : all_) {
+        known.emplace(it->record.instance, it);
+    }
+    changes out;
+    std::vector<upstream_ptr> next;
+    next.reserve(records.size());
+    for (auto const& record : records) {
+        auto const old = known.find(record.instance);
+        upstream_ptr it;
+        if (old != known.end() && same_lifetime(old->second->record, record)) {
+            it = old->second;
+            known.erase(old);
+            if (it->record != record) {
+                it->misplaced = false;
+                it->cold_until = now + record.cold_left;
+                it->record = record;
+            }
+        }
+        else {
+            it = std::make_shared<upstream_view>(record, now);
+            out.added.push_back(it);
+        }
+        it->evacuated = evacuated.contains(record.data_centre);
+        next.push_back(std::move(it));
+    }
+    for (auto const& [instance, it] : known) {
+        it->listed = false;
+        paces_.erase(instance);
+        out.removed.push_back(it);
+    }
+    all_ = std::move(next);
+    index();
+    return out;
+}
+
+void upstream_fleet::set_services(std::vector<upstream_service> const& services)
+{
+    for (auto& [name, entry] : services_) {
+        entry.service = {.name = name};
+    }
+    for (auto const& it : services) {
+        services_[it.name].service = it;
+    }
+}
+
+void upstream_fleet::index()
+{
+    for (auto& [name, entry] : services_) {
+        entry.replicas.clear();
+    }
+    for (auto const& it : all_) {
+        services_[it->record.service].replicas.push_back(it);
+    }
+}
+
+bool upstream_fleet::usable(upstream_view const& it) const
+{
+    return it.listed && !it.record.draining && !it.evacuated && !it.misplaced &&
+           it.reach != reachability::unreachable;
+}
+
+std::uint32_t upstream_fleet::connection_limit(upstream_view const& it) const
+{
+    auto const entry = services_.find(it.record.service);
+    if (entry == services_.end() ||
+        entry->second.service.max_connections == 0) {
+        return settings_.max_connections;
+    }
+    auto const share =
+        entry->second.service.max_connections / std::max(1.0, settings_.hosts);
+    return std::clamp(static_cast<std::uint32_t>(share), 1U,
+                      settings_.max_connections);
+}
+
+double upstream_fleet::score(upstream_view const& it, time_point now) const
+{
+    auto const slots = std::max(1U, it.record.slots);
+    auto const waiting =
+        std::max<double>(it.in_flight(), it.reported_waiting(now));
+    auto out = it.slowness(now) * (1 + waiting / slots);
+    if (it.cold(now)) {
+        out *= cold_slowness;
+    }
+    if (it.record.data_centre != settings_.data_centre) {
+        out += settings_.remote_penalty;
+    }
+    out += settings_.failure_penalty * it.failure_share(now);
+    if (it.silent_for(now) > settings_.suspect_after ||
+        suspected(it.record.data_centre)) {
+        out += suspect_score;
+    }
+    return out;
+}
+
+bool upstream_fleet::cold_and_paced(upstream_view const& it, double rate,
+                                    time_point now) const
+{
+    if (rate <= 0 || !it.cold(now)) {
+        return false;
+    }
+    auto const pace = paces_.find(it.record.instance);
+    return pace != paces_.end() && now < pace->second.next;
+}
+
+upstream_ptr upstream_fleet::choose(choice_request const& request,
+                                    no_choice& why)
+{
+    why = no_choice::none_known;
+    auto const entry = services_.find(*request.service);
+    if (entry == services_.end()) {
+        return nullptr;
+    }
+    auto const rate = entry->second.service.cold_rate;
+    upstream_ptr best;
+    auto best_score = std::numeric_limits<double>::max();
+    for (auto const& it : entry->second.replicas) {
+        if (!usable(*it) || contains(request.exclude, it)) {
+            continue;
+        }
+        if (it->in_flight() >= connection_limit(*it) ||
+            cold_and_paced(*it, rate, request.now)) {
+            why = no_choice::saturated;
+            continue;
+        }
+        auto const value =
+            score(*it, request.now) + score_noise * random_.unit();
+        if (value < best_score) {
+            best = it;
+            best_score = value;
+        }
+    }
+    if (best && rate > 0 && best->cold(request.now)) {
+        auto const pause = std::chrono::duration<double>(
+            std::max(1.0, settings_.hosts) / rate);
+        paces_[best->record.instance].next =
+            request.now + std::chrono::duration_cast<duration>(pause);
+    }
+    return best;
+}
+
+bool upstream_fleet::available(std::string const& service, time_point) const
+{
+    auto const entry = services_.find(service);
+    return entry != services_.end() &&
+           std::any_of(entry->second.replicas.begin(),
+                       entry->second.replicas.end(),
+                       [this](auto const& it) { return usable(*it); });
+}
+
+void upstream_fleet::alive(upstream_view const& it)
+{
+    auto const silent = silent_.find(it.record.data_centre);
+    if (silent != silent_.end()) {
+        silent->second.clear();
+    }
+}
+
+void upstream_fleet::overdue(upstream_view const& it)
+{
+    silent_[it.record.data_centre].insert(it.record.instance);
+}
+
+bool upstream_fleet::suspected(std::string const& data_centre) const
+{
+    auto const it = silent_.find(data_centre);
+    return it != silent_.end() &&
+           it->second.size() >= settings_.suspect_upstreams;
+}
+
+} // namespace snipemill
--- /dev/null
+++ b/src/core/forward/upstream_fleet.hpp
@@ -0,0 +1,113 @@
+#pragma once
+
+#include "core/base/rng.hpp"
+#include "core/forward/manifest.hpp"
+#include "core/forward/upstream_view.hpp"
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace snipemill {
+
+struct upstream_fleet_settings
+{
+    std::string data_centre; // of this host
+    // An upstream in another data centre counts as this much slower, because
+    // bytes between data centres cost and take longer.
+    double remote_penalty = 0.6;
+    // A failing upstream counts as this much slower per share of failures.
+    double failure_penalty = 8;
+    // Silence with a request open that makes others preferred: above the
+    // usual latency of a request and below the pauses of upstreams (100 ms).
+    duration suspect_after = from_ms(30);
+    // Silence after which only a new connection shows that it is alive: above
+    // the longest pause of an upstream (150 ms).
+    duration unreachable_after = from_ms(300);
+    // Silent upstreams of one data centre, with no answer from it meanwhile,
+    // that put all of it under suspicion.
+    std::uint32_t suspect_upstreams = 3;
+    // Hosts that share the connections and cold rates of an upstream.
+    double hosts = 8;
+    std::uint32_t max_connections = 6; // of this host to one upstream
+};
+
+struct choice_request
+{
+    std::string const* service = nullptr;
+    std::vector<upstream_ptr> const* exclude = nullptr; // may be null
+    time_point now{};
+};
+
+enum class no_choice : std::uint8_t
+{
+    none_known, // no upstream of the service may be used
+    saturated   // each has as many requests as this host may send
+};
+
+// The upstreams that this host may use, and the choice between replicas. Load
+// pattern: stragglers. Replicas pause, slow down, fail and vanish without
+// notice, so each request goes to the replica that is expected to answer
+// first, by what its last answers and its silence tell.
+class upstream_fleet
+{
+public:
+    upstream_fleet(upstream_fleet_settings settings, std::uint64_t seed);
+
+    struct changes
+    {
+        std::vector<upstream_ptr> added;
+        std::vector<upstream_ptr> removed; // get no more requests
+    };
+    // Takes over the whole list of the store and the evacuated data centres.
+    changes update(std::vector<upstream_record> const& records,
+                   std::set<std::string> const& evacuated, time_point now);
+    void set_services(std::vector<upstream_service> const& services);
+
+    // The best replica, or why there is none. The saturated flag is only
+    // looked at when the result is null.
+    upstream_ptr choose(choice_request const& request, no_choice& why);
+    // Whether a request for the service could be sent now.
+    bool available(std::string const& service, time_point now) const;
+
+    // Tells that an upstream answered or was connected.
+    void alive(upstream_view const& it);
+    // Tells that an upstream did not answer in the usual time.
+    void overdue(upstream_view const& it);
+    bool suspected(std::string const& data_centre) const;
+    std::uint32_t connection_limit(upstream_view const& it) const;
+
+    std::vector<upstream_ptr> const& all() const { return all_; }
+    upstream_fleet_settings const& settings() const { return settings_; }
+    void set_hosts(double n) { settings_.hosts = n; }
+
+private:
+    struct service_entry
+    {
+        upstream_service service;
+        std::vector<upstream_ptr> replicas;
+    };
+    struct cold_pace
+    {
+        time_point next{};
+    };
+
+    bool usable(upstream_view const& it) const;
+    double score(upstream_view const& it, time_point now) const;
+    bool cold_and_paced(upstream_view const& it, double rate,
+                        time_point now) const;
+    void index();
+
+    upstream_fleet_settings settings_;
+    rng random_;
+    std::vector<upstream_ptr> all_;
+    std::unordered_map<std::string, service_entry> services_;
+    // Silent upstreams by data centre since its last answer.
+    std::unordered_map<std::string, std::set<std::string>> silent_;
+    std::unordered_map<std::string, cold_pace> paces_; // by instance
+};
+
+} // namespace snipemill
--- /dev/null
+++ b/src/core/forward/upstream_view.cpp
@@ -0,0 +1,126 @@
+#include "core/forward/upstream_view.hpp"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <utility>
+
+namespace snipemill {
+
+namespace {
+
+// Weight of a new sample: about the last three answers count for slowness,
+// the last five for failures.
+constexpr double slowness_weight = 0.3;
+constexpr double failure_weight = 0.2;
+
+// Beliefs about an upstream that gets no requests halve in this time, after
+// which it is tried again.
+constexpr duration belief_half_life = from_ms(1500);
+
+// A load report says nothing after a few service times.
+constexpr duration load_lifetime = from_ms(100);
+
+double decay(duration age)
+{
+    return std::exp2(-to_ms(std::max(age, duration::zero())) /
+                     to_ms(belief_half_life));
+}
+
+} // namespace
+
+upstream_view::upstream_view(upstream_record r, time_point now)
+    : record(std::move(r)), cold_until(now + record.cold_left)
+{}
+
+void upstream_view::sent(time_point now)
+{
+    pending_.push_back(now);
+}
+
+void upstream_view::remove(time_point start)
+{
+    auto const it = std::find(pending_.begin(), pending_.end(), start);
+    assert(it != pending_.end());
+    *it = pending_.back();
+    pending_.pop_back();
+}
+
+void upstream_view::answered(time_point start, time_point now,
+                             double relative_latency)
+{
+    remove(start);
+    alive_at_ = now;
+    add_latency(relative_latency, now);
+    add_outcome(0, now);
+}
+
+void upstream_view::timed_out(time_point start, time_point now,
+                              double relative_latency)
+{
+    remove(start);
+    add_latency(relative_latency, now);
+}
+
+void upstream_view::add_latency(double relative, time_point now)
+{
+    slowness_ =
+        slowness(now) * (1 - slowness_weight) + relative * slowness_weight;
+    slowness_at_ = now;
+}
+
+void upstream_view::failed(time_point start, time_point now)
+{
+    remove(start);
+    add_outcome(1, now);
+}
+
+void upstream_view::add_outcome(double failure, time_point now)
+{
+    failures_ =
+        failure_share(now) * (1 - failure_weight) + failure * failure_weight;
+    failures_at_ = now;
+}
+
+void upstream_view::released(time_point start)
+{
+    remove(start);
+}
+
+void upstream_view::connected(time_point now)
+{
+    reach = reachability::reachable;
+    alive_at_ = now;
+}
+
+void upstream_view::report(reported_load const& load, time_point now)
+{
+    load_ = load;
+    load_at_ = now;
+}
+
+duration upstream_view::silent_for(time_point now) const
+{
+    if (pending_.empty()) {
+        return duration::zero();
+    }
+    auto const oldest = *std::min_element(pending_.begin(), pending_.end());
+    return now - std::max(oldest, alive_at_);
+}
+
+double upstream_view::slowness(time_point now) const
+{
+    return 1 + (slowness_ - 1) * decay(now - slowness_at_);
+}
+
+double upstream_view::failure_share(time_point now) const
+{
+    return failures_ * decay(now - failures_at_);
+}
+
+double upstream_view::reported_waiting(time_point now) const
+{
+    return now - load_at_ < load_lifetime ? load_.waiting : 0;
+}
+
+} // namespace snipemill
--- a/src/ports/platform_port.hpp
+++ b/src/ports/platform_port.hpp
@@ -42,14 +42,16 @@
     not_sent,  // certainly had no effect: no connection, budget, breaker open
     ambiguous, // sent, no clear answer: a write may have taken effect
     refused,   // the platform refused the request as invalid
+    history_gone, // the events that a watch asks for are lost
 };
 
-inline constexpr name_table<platform_error, 5> platform_error_names{{
+inline constexpr name_table<platform_error, 6> platform_error_names{{
     {platform_error::not_found, "not_found"},
     {platform_error::conflict, "conflict"},
     {platform_error::not_sent, "not_sent"},
     {platform_error::ambiguous, "ambiguous"},
     {platform_error::refused, "refused"},
+    {platform_error::history_gone, "history_gone"},
 }};
 
 template <class T>
--- /dev/null
+++ b/src/ports/store_port.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "core/base/name_table.hpp"
+#include "core/forward/manifest.hpp"
+#include "core/forward/upstream_record.hpp"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace snipemill {
+
+// What the platform's store holds for the host.
+enum class store_kind : std::uint8_t
+{
+    manifests,  // the newest state of routes and services
+    upstreams,  // one entry for each upstream, written by itself
+    evacuations // data centres that are to get no requests
+};
+
+inline constexpr name_table<store_kind, 3> store_kind_names{{
+    {store_kind::manifests, "manifests"},
+    {store_kind::upstreams, "upstreams"},
+    {store_kind::evacuations, "evacuations"},
+}};
+
+// An entry that another writer has spoilt.
+struct unreadable_entry
+{};
+
+// A data centre that is named by the entry's name.
+struct evacuation_entry
+{};
+
+using store_value =
+    std::variant<unreadable_entry, std::shared_ptr<manifest const>,
+                 upstream_record, evacuation_entry>;
+
+struct store_entry
+{
+    std::string name;
+    store_value value;
+};
+
+struct store_page
+{
+    std::vector<store_entry> entries;
+    bool truncated = false;     // more entries follow after the last name
+    std::uint64_t revision = 0; // of the store when it was read
+};
+
+struct store_event
+{
+    store_entry entry;
+    bool deleted = false;
+};
+
+struct store_events
+{
+    std::vector<store_event> events;
+    std::uint64_t revision = 0; // to watch from next
+};
+
+enum class store_error : std::uint8_t
+{
+    history_gone, // events since the revision are lost; list again
+    unavailable   // no answer, or a refusal
+};
+
+inline constexpr name_table<store_error, 2> store_error_names{{
+    {store_error::history_gone, "history_gone"},
+    {store_error::unavailable, "unavailable"},
+}};
+
+template <class T>
+using store_callback = std::function<void(std::variant<T, store_error>)>;
+
+// Reads the platform's store. Callbacks run on the thread of the adapter's
+// io_context, never inside the call.
+class store_port
+{
+public:
+    virtual ~store_port() = default;
+
+    // Entries after the name, in the order of names; all when it is empty.
+    virtual void list(store_kind kind, std::string after,
+                      store_callback<store_page> f) = 0;
+    // Events after the revision; none after `wait`.
+    virtual void watch(store_kind kind, std::uint64_t revision, duration wait,
+                       store_callback<store_events> f) = 0;
+};
+
+} // namespace snipemill
