Read the store again before a silent watch can hide a change

The trace shows a watch that waited 4 s while the store dropped its history: it was not told of the change before. Ruled out: the breaker (no failed call in the logs), a stale read. Watches now end 1 s before the bound of their kind, and lost history that any kind learns of relists all kinds. Events of upstreams are gathered for 150 ms.

--- a/src/adapters/platform/platform_calls.cpp
+++ b/src/adapters/platform/platform_calls.cpp
@@ -15,7 +15,7 @@
 constexpr double claim_burst_seconds = 0.25;
 
 // Watches at one time, each with a connection of its own.
-constexpr std::size_t max_watches = 4;
+constexpr std::size_t max_watches = 8;
 
 // Answers hold values of up to 1 MB each; a listing holds several.
 constexpr std::size_t max_answer = 64 * 1024 * 1024;
--- a/src/adapters/settings/forward_settings.cpp
+++ b/src/adapters/settings/forward_settings.cpp
@@ -86,6 +86,8 @@
     });
     in.map("bounds", [&](yaml_reader& bounds) {
         bounds.read_ms("leave_within_ms", out.leave_within, ms_range);
+        bounds.read_ms("change_within_ms", out.change_within, ms_range);
+        bounds.read_ms("evacuate_within_ms", out.evacuate_within, ms_range);
         read_seconds(bounds, "stop_within_s", out.stop_within);
         bounds.finish();
     });
--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -11,10 +11,15 @@
 
 namespace {
 
-// A watch that waits longer saves calls, one that waits less finds a store
-// that has gone silent sooner. Changes must be in force within 3 s of the
-// moment at which a host can reach the store for 4 s.
-constexpr duration watch_wait = from_ms(4000);
+// A store that drops its history may not tell a watch that waits of changes
+// before. The next watch finds out, so none waits up to the bound of the kind;
+// the rest is for a new listing on a slow host.
+constexpr duration watch_margin = from_ms(1000);
+constexpr duration shortest_watch = from_ms(500);
+
+// Upstreams register one by one when a fleet starts. A pause after events
+// gathers those that follow into one call.
+constexpr duration upstream_pause = from_ms(150);
 
 // Delay after failed calls; doubles, is spread by half, and stays below a
 // second so that changes made right after an outage are seen in time.
@@ -49,10 +54,15 @@
       random_(std::random_device()()), expiry_(io)
 {
     auto const mirror = mirror_settings(settings);
+    std::array const bounds{settings.change_within, settings.leave_within,
+                            settings.evacuate_within};
     for (std::size_t i = 0; i < followers_.size(); ++i) {
         followers_[i] =
             std::make_unique<follower>(io, store_kind_names[i].first, mirror);
+        followers_[i]->wait =
+            std::max(shortest_watch, bounds[i] - watch_margin);
     }
+    followers_[1]->pause = upstream_pause;
 }
 
 void forward_control::start()
@@ -73,34 +83,50 @@
 
 void forward_control::call(follower& it)
 {
+    auto const current = [&it, epoch = it.epoch] { return it.epoch == epoch; };
     std::visit(
-        overloaded{
-            [&](list_action const& action) {
-                store_.list(it.kind, action.after, [this, &it](auto result) {
-                    if (auto* page = std::get_if<store_page>(&result)) {
-                        it.mirror.on_page(std::move(*page), core_now());
-                        on_done(it, true);
-                        return;
-                    }
-                    on_failed(it, std::get<store_error>(result));
-                });
-            },
-            [&](watch_action const& action) {
-                store_.watch(
-                    it.kind, action.revision, watch_wait,
-                    [this, &it](auto result) {
-                        if (auto* events = std::get_if<store_events>(&result)) {
-                            bool const changed = !events->events.empty();
-                            it.mirror.on_events(std::move(*events), core_now());
-                            on_done(it, changed);
-                            return;
-                        }
-                        on_failed(it, std::get<store_error>(result));
-                    });
-            }},
+        overloaded{[&](list_action const& action) {
+                       store_.list(it.kind, action.after,
+                                   [this, &it, current](auto result) {
+                                       if (current()) {
+                                           on_listed(it, std::move(result));
+                                       }
+                                   });
+                   },
+                   [&](watch_action const& action) {
+                       store_.watch(it.kind, action.revision, it.wait,
+                                    [this, &it, current](auto result) {
+                                        if (current()) {
+                                            on_watched(it, std::move(result));
+                                        }
+                                    });
+                   }},
         it.mirror.next());
 }
 
+void forward_control::on_listed(follower& it,
+                                std::variant<store_page, store_error> result)
+{
+    if (auto* const page = std::get_if<store_page>(&result)) {
+        it.mirror.on_page(std::move(*page), core_now());
+        on_done(it, true);
+        return;
+    }
+    on_failed(it, std::get<store_error>(result));
+}
+
+void forward_control::on_watched(follower& it,
+                                 std::variant<store_events, store_error> result)
+{
+    if (auto* const events = std::get_if<store_events>(&result)) {
+        bool const changed = !events->events.empty();
+        it.mirror.on_events(std::move(*events), core_now());
+        on_done(it, changed);
+        return;
+    }
+    on_failed(it, std::get<store_error>(result));
+}
+
 void forward_control::on_done(follower& it, bool changed)
 {
     if (it.failures > 1) {
@@ -110,34 +136,61 @@
                   {"revision", std::to_string(it.mirror.revision())}});
     }
     it.failures = 0;
-    if (changed) {
-        publish();
+    if (!changed) {
+        call(it);
+        return;
+    }
+    publish();
+    if (it.pause > duration::zero()) {
+        call_after(it, it.pause);
+    }
+    else {
+        call(it);
     }
-    call(it);
 }
 
 void forward_control::on_failed(follower& it, store_error error)
 {
     ++it.failures;
-    it.mirror.on_error(error, it.failures);
-    if (it.failures == 2 || error == store_error::history_gone) {
-        log_info(error == store_error::history_gone ? "store_history_gone"
-                                                    : "store_lost",
+    bool const gone = error == store_error::history_gone;
+    if (it.failures == 2 || gone) {
+        log_info(gone ? "store_history_gone" : "store_lost",
                  {{"kind", name_of(store_kind_names, it.kind)},
                   {"error", name_of(store_error_names, error)},
                   {"revision", std::to_string(it.mirror.revision())}});
     }
-    if (error == store_error::history_gone) {
-        it.failures = 0;
-        call(it);
+    if (gone) {
+        on_history_gone();
         return;
     }
+    it.mirror.on_error(error, it.failures);
+    call_after(it, retry_delay(it.failures));
+}
+
+// The history is lost for all kinds, also those whose watches still wait.
+void forward_control::on_history_gone()
+{
+    for (auto& it : followers_) {
+        ++it->epoch;
+        it->failures = 0;
+        it->waiting = false;
+        it->timer.cancel();
+        it->mirror.on_error(store_error::history_gone, 0);
+        call(*it);
+    }
+}
+
+void forward_control::call_after(follower& it, duration delay)
+{
     it.waiting = true;
-    it.timer.expires_after(retry_delay(it.failures));
-    it.timer.async_wait([this, &it](boost::system::error_code) {
-        it.waiting = false;
-        call(it);
-    });
+    it.timer.expires_after(delay);
+    it.timer.async_wait(
+        [this, &it, epoch = it.epoch](boost::system::error_code) {
+            if (epoch == it.epoch) {
+                it.waiting = false;
+                call(it);
+            }
+        });
 }
 
 duration forward_control::retry_delay(std::uint32_t failures)
--- a/src/app/forward/forward_control.hpp
+++ b/src/app/forward/forward_control.hpp
@@ -44,13 +44,21 @@
         store_kind kind;
         store_mirror mirror;
         boost::asio::steady_timer timer;
+        duration wait{};            // of a watch
+        duration pause{};           // after events, before the next watch
         std::uint32_t failures = 0; // in a row
+        std::uint64_t epoch = 0;    // results of earlier calls are ignored
         bool waiting = false;       // for the timer
     };
 
     void call(follower& it);
+    void on_listed(follower& it, std::variant<store_page, store_error> result);
+    void on_watched(follower& it,
+                    std::variant<store_events, store_error> result);
     void on_done(follower& it, bool changed);
     void on_failed(follower& it, store_error error);
+    void on_history_gone();
+    void call_after(follower& it, duration delay);
     duration retry_delay(std::uint32_t failures);
     void adopt(store_value const& value);
     void publish();
