--- a/src/adapters/forward/upstream_links.cpp
+++ b/src/adapters/forward/upstream_links.cpp
@@ -316,7 +316,13 @@
         it->waiting.pop_front();
         // Not inside the callback of the connection's own exchange.
         asio::post(io_, [this, alive = alive_, it, next, connection] {
-            if (!*alive || !exchanges_.contains(next)) {
+            if (!*alive) {
+                return;
+            }
+            auto const open = exchanges_.find(next);
+            if (open == exchanges_.end() || open->second.given_up) {
+                // Released meanwhile.
+                keep_idle(it, connection);
                 return;
             }
             if (connection->usable()) {
@@ -328,6 +334,16 @@
         });
         return;
     }
+    keep_idle(it, connection);
+}
+
+void upstream_links::keep_idle(link_ptr const& it,
+                               connection_ptr const& connection)
+{
+    if (it->removed || !connection->open()) {
+        connection->discard();
+        return;
+    }
     it->idle.push_back({connection, now_()});
 }
 
@@ -359,6 +375,7 @@
         return;
     }
     if (!it->second.connection) {
+        it->second.given_up = true;
         auto const link = links_.find(it->second.to.get());
         if (link != links_.end()) {
             std::erase(link->second->waiting, id);
--- a/src/adapters/forward/upstream_links.hpp
+++ b/src/adapters/forward/upstream_links.hpp
@@ -118,6 +118,7 @@
                    connection_ptr const& connection, exchange_result result);
     void keep(link_ptr const& it, connection_ptr const& connection,
               exchange_result const& result);
+    void keep_idle(link_ptr const& it, connection_ptr const& connection);
     void end(exchange_id id, exchange_outcome outcome);
     void fail_waiting(upstream_link& it);
     void arm_release();
--- a/src/adapters/http/http_server.hpp
+++ b/src/adapters/http/http_server.hpp
@@ -20,9 +20,11 @@
     std::uint16_t port = 0;                    // 0: any free port
     std::size_t max_header = 16 * 1024;        // bytes
     std::size_t max_body = 1024 * 1024;        // bytes
-    duration header_timeout = from_ms(10'000); // to receive a header
-    // Between requests, and between two pieces of a body.
-    duration idle_timeout = from_ms(60'000);
+    duration header_timeout = from_ms(10'000); // to receive a whole request
+    duration idle_timeout = from_ms(60'000);   // between requests
+    // Between two pieces of a body; header_timeout then holds for the header
+    // alone. 0: header_timeout holds for the whole request.
+    duration body_timeout{};
     std::size_t max_connections = 10'000;
     bool reuse_port = false; // several lanes listen on one port
 };
--- a/src/adapters/http/server_connection.cpp
+++ b/src/adapters/http/server_connection.cpp
@@ -199,7 +199,9 @@
         return;
     }
     if (parser_->is_header_done()) {
-        arm(core_->options().idle_timeout);
+        if (core_->options().body_timeout > duration::zero()) {
+            arm(core_->options().body_timeout);
+        }
         send_continue();
     }
     read();
--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -109,7 +109,7 @@
 {
     if (auto* const page = std::get_if<store_page>(&result)) {
         it.mirror.on_page(std::move(*page), core_now());
-        on_done(it, true);
+        on_done(it, true, duration::zero());
         return;
     }
     on_failed(it, std::get<store_error>(result));
@@ -121,13 +121,13 @@
     if (auto* const events = std::get_if<store_events>(&result)) {
         bool const changed = !events->events.empty();
         it.mirror.on_events(std::move(*events), core_now());
-        on_done(it, changed);
+        on_done(it, changed, it.pause);
         return;
     }
     on_failed(it, std::get<store_error>(result));
 }
 
-void forward_control::on_done(follower& it, bool changed)
+void forward_control::on_done(follower& it, bool changed, duration pause)
 {
     if (it.failures > 1) {
         log_info("store_regained",
@@ -141,8 +141,8 @@
         return;
     }
     publish();
-    if (it.pause > duration::zero()) {
-        call_after(it, it.pause);
+    if (pause > duration::zero()) {
+        call_after(it, pause);
     }
     else {
         call(it);
--- a/src/app/forward/forward_control.hpp
+++ b/src/app/forward/forward_control.hpp
@@ -55,7 +55,8 @@
     void on_listed(follower& it, std::variant<store_page, store_error> result);
     void on_watched(follower& it,
                     std::variant<store_events, store_error> result);
-    void on_done(follower& it, bool changed);
+    // The next call comes after the pause when something changed.
+    void on_done(follower& it, bool changed, duration pause);
     void on_failed(follower& it, store_error error);
     void on_history_gone();
     void call_after(follower& it, duration delay);
--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -27,6 +27,10 @@
 // The answer reaches the caller before its deadline.
 constexpr duration deadline_margin = from_ms(8);
 
+// A caller may send a body slowly, but not stop; the limit is the idle time
+// that callers are usually allowed.
+constexpr duration body_timeout = from_ms(15'000);
+
 // Longest wait of a caller on a route without a timeout.
 constexpr duration default_timeout = from_ms(30'000);
 
@@ -45,7 +49,10 @@
 
 http_server_options server_options(listen_address const& address)
 {
-    return {.ip = address.ip, .port = address.port, .max_connections = 3000};
+    return {.ip = address.ip,
+            .port = address.port,
+            .body_timeout = body_timeout,
+            .max_connections = 3000};
 }
 
 std::string_view path_of(std::string_view target)
--- a/src/core/forward/part_fetch.cpp
+++ b/src/core/forward/part_fetch.cpp
@@ -222,11 +222,6 @@
                               --sends_;
                               --runs_;
                               ++connect_failures_;
-                              if (failure_.fault != fetch_fault::lost &&
-                                  failure_.fault != fetch_fault::failed) {
-                                  failure_ = {.fault =
-                                                  fetch_fault::no_upstream};
-                              }
                               after_failure(now);
                           },
                           [&](exchange_lost const& lost) {
--- /dev/null
+++ b/tests/adapters/forward/forward_text_test.cpp
@@ -0,0 +1,121 @@
+#include "adapters/forward/forward_text.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace snipemill;
+
+TEST_GROUP(forward_text)
+{
+    forward_headers names{.request_id = "x-id",
+                          .time_left = "x-left",
+                          .proof = "x-proof",
+                          .expected_instance = "x-instance",
+                          .load = "x-load",
+                          .not_run = "x-not-run",
+                          .part_proofs = "x-proofs",
+                          .missing_parts = "x-missing"};
+
+    std::string write(http_request request)
+    {
+        return write_exchange(make_forward_request(std::move(request), names),
+                              names, from_ms(250), "i-1");
+    }
+    static bool has(std::string const& text, std::string const& part)
+    {
+        return text.find(part) != std::string::npos;
+    }
+};
+
+// Guards against a request that reaches the upstream changed.
+TEST(forward_text, passes_on_method_target_headers_and_body)
+{
+    auto const text = write(
+        {.method = "POST",
+         .target = "/a/b?c=%20",
+         .headers = {{"host", "h.example"}, {"x-id", "7"}, {"x-own", "v"}},
+         .body = "body"});
+    CHECK(text.starts_with("POST /a/b?c=%20 HTTP/1.1\r\n"));
+    CHECK(has(text, "host: h.example\r\n"));
+    CHECK(has(text, "x-id: 7\r\n"));
+    CHECK(has(text, "x-own: v\r\n"));
+    CHECK(has(text, "content-length: 4\r\n"));
+    CHECK(text.ends_with("\r\n\r\nbody"));
+}
+
+// Guards against a caller that names the instance or more time than is left.
+TEST(forward_text, sets_its_own_headers_once)
+{
+    auto const text =
+        write({.method = "GET",
+               .target = "/",
+               .headers = {{"x-left", "9999"}, {"x-instance", "i-9"}}});
+    CHECK(has(text, "x-left: 250\r\n"));
+    CHECK(has(text, "x-instance: i-1\r\n"));
+    CHECK_FALSE(has(text, "9999"));
+    CHECK_FALSE(has(text, "i-9"));
+    CHECK_FALSE(has(text, "content-length"));
+}
+
+// Guards against headers of the caller's connection on the upstream's.
+TEST(forward_text, drops_headers_of_the_connection)
+{
+    auto const text = write({.method = "POST",
+                             .target = "/",
+                             .headers = {{"connection", "close, X-Hop"},
+                                         {"x-hop", "1"},
+                                         {"keep-alive", "timeout=5"},
+                                         {"transfer-encoding", "chunked"},
+                                         {"upgrade", "h2c"}},
+                             .body = "b"});
+    for (auto const* const it :
+         {"connection", "x-hop", "keep-alive", "transfer-enc", "upgrade"}) {
+        CHECK_FALSE(has(text, it));
+    }
+    CHECK(has(text, "content-length: 1\r\n"));
+}
+
+TEST(forward_text, reads_an_upstreams_answer)
+{
+    auto const out = read_upstream_answer({.status = 503,
+                                           .headers = {{"x-proof", "p"},
+                                                       {"x-not-run", "1"},
+                                                       {"x-load", "3,0,8"},
+                                                       {"connection", "close"},
+                                                       {"x-own", "v"}},
+                                           .body = "b"},
+                                          names);
+    CHECK(out.not_run);
+    CHECK_FALSE(out.wrong_instance);
+    STRCMP_EQUAL("p", out.proof.c_str());
+    UNSIGNED_LONGS_EQUAL(3, out.load->running);
+    UNSIGNED_LONGS_EQUAL(8, out.load->slots);
+    UNSIGNED_LONGS_EQUAL(4, out.headers.size());
+}
+
+TEST(forward_text, reads_only_a_whole_load)
+{
+    for (auto const* const it : {"", "1", "1,2", "1,2,", "1,2,3,", "1, 2,3",
+                                 "-1,2,3", "a,b,c", "1,2,99999999999"}) {
+        CHECK_FALSE(read_load(it).has_value());
+    }
+}
+
+// Guards against a merged answer that hides its parts.
+TEST(forward_text, writes_a_merged_answer)
+{
+    auto const out = write_caller_answer(
+        merged_answer{.body = "b", .proofs = {"p", "q"}, .missing = 3}, names);
+    UNSIGNED_LONGS_EQUAL(200, out.status);
+    header_list const expected{{"x-proofs", "p, q"}, {"x-missing", "3"}};
+    CHECK(out.headers == expected);
+}
+
+// Guards against a refusal without a time to come back.
+TEST(forward_text, writes_a_refusal_with_fractions_of_seconds)
+{
+    auto const out = write_caller_answer(
+        refused_answer{.status = 503, .retry_after = from_ms(50)}, names);
+    UNSIGNED_LONGS_EQUAL(503, out.status);
+    header_list const expected{{"Retry-After", "0.050"}};
+    CHECK(out.headers == expected);
+}
--- /dev/null
+++ b/tests/adapters/forward/upstream_links_test.cpp
@@ -0,0 +1,239 @@
+#include "adapters/forward/upstream_links.hpp"
+#include "app/core_time.hpp"
+#include "support/raw_peer.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+
+using namespace snipemill;
+using namespace snipemill::test;
+
+TEST_GROUP(upstream_links)
+{
+    boost::asio::io_context io;
+    raw_server server{io};
+    forward_headers names{.request_id = "x-id",
+                          .time_left = "x-left",
+                          .proof = "x-proof",
+                          .expected_instance = "x-instance",
+                          .load = "x-load",
+                          .not_run = "x-not-run"};
+    upstream_fleet fleet{{.data_centre = "a"}, 1};
+    std::optional<upstream_links> links;
+    std::vector<exchange_outcome> outcomes;
+    std::function<void()> on_outcome;
+
+    void start(std::uint16_t port = 0)
+    {
+        fleet.update({{.instance = "i-1",
+                       .service = "s",
+                       .ip = "127.0.0.1",
+                       .port = port != 0 ? port : server.port(),
+                       .data_centre = "a"}},
+                     {}, core_now());
+        links.emplace(io, fleet, names, upstream_links_settings{}, core_now,
+                      nullptr);
+    }
+    upstream_ptr upstream()
+    {
+        return fleet.all()[0];
+    }
+    exchange_id send(std::string id)
+    {
+        auto const now = core_now();
+        upstream()->sent(now);
+        return links->send(
+            upstream(),
+            std::make_shared<forward_request const>(forward_request{
+                .id = id,
+                .method = "GET",
+                .text = "GET / HTTP/1.1\r\nx-id: " + id + "\r\n"}),
+            now + from_ms(5000), [this, now](exchange_outcome outcome) {
+                upstream()->released(now);
+                outcomes.push_back(std::move(outcome));
+                if (on_outcome) {
+                    on_outcome();
+                }
+            });
+    }
+    bool wait_request(std::string const& id, std::size_t peer = 0)
+    {
+        return run_until(io, [&] {
+            return server.peers.size() > peer &&
+                   server.peers[peer]->has("x-id: " + id + "\r\n");
+        });
+    }
+    bool wait_outcomes(std::size_t n)
+    {
+        return run_until(io, [&] { return outcomes.size() == n; });
+    }
+    void answer(std::string const& id, std::string const& body,
+                std::string const& extra = "", std::size_t peer = 0)
+    {
+        server.peers[peer]->send(
+            "HTTP/1.1 200 OK\r\nx-id: " + id +
+            "\r\nx-proof: p\r\nContent-Length: " + std::to_string(body.size()) +
+            "\r\n\r\n" + body + extra);
+    }
+    std::string body(std::size_t n)
+    {
+        CHECK(std::holds_alternative<upstream_answer>(outcomes[n]));
+        return std::get<upstream_answer>(outcomes[n]).body;
+    }
+};
+
+TEST(upstream_links, sends_and_keeps_the_connection)
+{
+    start();
+    send("1");
+    CHECK(wait_request("1"));
+    CHECK(server.peers[0]->has("x-instance: i-1\r\n"));
+    answer("1", "one");
+    CHECK(wait_outcomes(1));
+    send("2");
+    CHECK(wait_request("2"));
+    answer("2", "two");
+    CHECK(wait_outcomes(2));
+    STRCMP_EQUAL("two", body(1).c_str());
+    UNSIGNED_LONGS_EQUAL(1, server.peers.size());
+}
+
+// Guards against a late answer to an earlier request that is passed on as the
+// answer to this one.
+TEST(upstream_links, skips_an_answer_to_another_request)
+{
+    start();
+    send("1");
+    CHECK(wait_request("1"));
+    answer("0", "late");
+    answer("1", "one");
+    CHECK(wait_outcomes(1));
+    STRCMP_EQUAL("one", body(0).c_str());
+}
+
+// Guards against bytes after an answer that become part of the next one.
+TEST(upstream_links, drops_a_connection_with_extra_bytes)
+{
+    start();
+    send("1");
+    CHECK(wait_request("1"));
+    answer("1", "one", "HTTP/1.1 200 OK\r\n");
+    CHECK(wait_outcomes(1));
+    STRCMP_EQUAL("one", body(0).c_str());
+    send("2");
+    CHECK(wait_request("2", 1));
+}
+
+// Guards against a cut answer that is passed on as a whole one.
+TEST(upstream_links, a_cut_answer_is_lost)
+{
+    start();
+    send("1");
+    CHECK(wait_request("1"));
+    server.peers[0]->send(
+        "HTTP/1.1 200 OK\r\nx-proof: p\r\nContent-Length: 9\r\n\r\nabc");
+    server.peers[0]->half_close();
+    CHECK(wait_outcomes(1));
+    CHECK(std::holds_alternative<exchange_lost>(outcomes[0]));
+}
+
+// An answer without a length ends with its connection; guards against one that
+// was reset on the way.
+TEST(upstream_links, an_answer_without_length_ends_with_the_connection)
+{
+    start();
+    send("1");
+    CHECK(wait_request("1"));
+    server.peers[0]->send("HTTP/1.1 200 OK\r\nx-proof: p\r\n\r\nabc");
+    CHECK(run_until(io, [&] { return server.peers[0]->in.size() > 0; }));
+    server.peers[0]->half_close();
+    CHECK(wait_outcomes(1));
+    STRCMP_EQUAL("abc", body(0).c_str());
+}
+
+// Guards against a request that is said to have run when no byte left.
+TEST(upstream_links, a_refused_connection_is_not_sent)
+{
+    start();
+    server.close();
+    send("1");
+    CHECK(wait_outcomes(1));
+    CHECK(std::holds_alternative<exchange_not_sent>(outcomes[0]));
+    CHECK(upstream()->reach == reachability::unreachable);
+}
+
+// Load: an upstream is down for a while. Guards against leaving it out for
+// ever.
+TEST(upstream_links, finds_an_upstream_that_has_returned)
+{
+    start();
+    auto const port = server.port();
+    server.close();
+    send("1");
+    CHECK(wait_outcomes(1));
+    boost::asio::ip::tcp::acceptor again(io);
+    again.open(boost::asio::ip::tcp::v4());
+    again.set_option(boost::asio::socket_base::reuse_address(true));
+    again.bind({boost::asio::ip::address_v4::loopback(), port});
+    again.listen();
+    CHECK(run_until(
+        io, [&] { return upstream()->reach == reachability::reachable; }));
+}
+
+// Load: an upstream is silent. Guards against its work for an answer that
+// nobody waits for.
+TEST(upstream_links, closes_a_released_exchange_at_its_time)
+{
+    start();
+    auto const id = send("1");
+    CHECK(wait_request("1"));
+    links->release(id, core_now() + from_ms(20));
+    CHECK(wait_outcomes(1));
+    CHECK(std::get<exchange_lost>(outcomes[0]).closed_here);
+    CHECK(run_until(io, [&] { return server.peers[0]->closed; }));
+}
+
+// Guards against a released exchange that is begun on a connection which has
+// just become free: its end found no exchange, and the process ended.
+TEST(upstream_links, a_released_exchange_is_not_begun)
+{
+    using boost::asio::ip::tcp;
+    tcp::endpoint const any(boost::asio::ip::address_v4::loopback(), 0);
+    tcp::acceptor full(io, any);
+    full.listen(0);
+    start(full.local_endpoint().port());
+    send("1");
+    server.peers.push_back(std::make_shared<raw_peer>(full.accept()));
+    server.peers[0]->read();
+    CHECK(wait_request("1"));
+    // A connection that nobody accepts fills the queue, so that the next
+    // set-up waits.
+    tcp::socket filler(io);
+    filler.connect(full.local_endpoint());
+    auto const second = send("2");
+    on_outcome = [&] {
+        on_outcome = nullptr;
+        links->release(second, core_now());
+    };
+    answer("1", "one");
+    CHECK(wait_outcomes(2));
+    CHECK(std::holds_alternative<exchange_not_sent>(outcomes[1]));
+    send("3");
+    CHECK(wait_request("3"));
+    CHECK_FALSE(server.peers[0]->has("x-id: 2\r\n"));
+    answer("3", "three");
+    CHECK(wait_outcomes(3));
+    STRCMP_EQUAL("three", body(2).c_str());
+}
+
+// Guards against a connection to an upstream that has left.
+TEST(upstream_links, closes_idle_connections_of_a_removed_upstream)
+{
+    start();
+    auto const it = upstream();
+    links->add(it);
+    CHECK(run_until(io, [&] { return server.peers.size() == 1; }));
+    links->remove(it);
+    CHECK(run_until(io, [&] { return server.peers[0]->closed; }));
+}
--- /dev/null
+++ b/tests/app/forward/forward_control_test.cpp
@@ -0,0 +1,150 @@
+#include "app/forward/forward_control.hpp"
+#include "support/raw_peer.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <map>
+#include <optional>
+
+using namespace snipemill;
+using namespace snipemill::test;
+
+namespace {
+
+// A store whose calls are answered by the test.
+class scripted_store : public store_port
+{
+public:
+    void list(store_kind kind, std::string,
+              store_callback<store_page> f) override
+    {
+        ++lists[kind];
+        on_list[kind] = std::move(f);
+    }
+    void watch(store_kind kind, std::uint64_t, duration wait,
+               store_callback<store_events> f) override
+    {
+        waits[kind] = wait;
+        on_watch[kind] = std::move(f);
+    }
+
+    // A callback makes the next call, which replaces it.
+    void listed(store_kind kind, std::variant<store_page, store_error> result)
+    {
+        auto const f = std::move(on_list.at(kind));
+        f(std::move(result));
+    }
+    void watched(store_kind kind,
+                 std::variant<store_events, store_error> result)
+    {
+        auto const f = std::move(on_watch.at(kind));
+        f(std::move(result));
+    }
+
+    std::map<store_kind, int> lists;
+    std::map<store_kind, duration> waits;
+    std::map<store_kind, store_callback<store_page>> on_list;
+    std::map<store_kind, store_callback<store_events>> on_watch;
+};
+
+store_entry manifest_entry(std::uint64_t version)
+{
+    auto it = std::make_shared<manifest>();
+    it->version = version;
+    return {.name = "main",
+            .value = std::shared_ptr<manifest const>(std::move(it))};
+}
+
+} // namespace
+
+TEST_GROUP(forward_control)
+{
+    boost::asio::io_context io;
+    scripted_store store;
+    forward_settings settings;
+    std::shared_ptr<forward_snapshot const> last;
+    forward_control control{io, settings, store,
+                            [this](auto it) { last = std::move(it); }};
+
+    void start()
+    {
+        control.start();
+        store.listed(
+            store_kind::manifests,
+            store_page{.entries = {manifest_entry(5)}, .revision = 10});
+        store.listed(store_kind::upstreams, store_page{.revision = 10});
+        store.listed(store_kind::evacuations, store_page{.revision = 10});
+    }
+    bool wait_list(store_kind kind, int n)
+    {
+        return run_until(io, [&] { return store.lists[kind] == n; });
+    }
+};
+
+// Guards against a host that counts as ready with half of its state.
+TEST(forward_control, is_complete_when_every_kind_was_read)
+{
+    control.start();
+    store.listed(store_kind::manifests,
+                 store_page{.entries = {manifest_entry(5)}, .revision = 10});
+    store.listed(store_kind::upstreams, store_page{.revision = 10});
+    CHECK_FALSE(last->complete);
+    store.listed(store_kind::evacuations, store_page{.revision = 10});
+    CHECK(last->complete);
+}
+
+// Guards against a manifest that goes back to an older version.
+TEST(forward_control, manifests_only_move_forward)
+{
+    start();
+    store.watched(
+        store_kind::manifests,
+        store_events{.events = {{.entry = manifest_entry(9)}}, .revision = 11});
+    UNSIGNED_LONGS_EQUAL(9, last->current->state->version);
+    store.watched(
+        store_kind::manifests,
+        store_events{.events = {{.entry = manifest_entry(7)}}, .revision = 12});
+    UNSIGNED_LONGS_EQUAL(9, last->current->state->version);
+    store.watched(
+        store_kind::manifests,
+        store_events{.events = {{.entry = manifest_entry(9), .deleted = true}},
+                     .revision = 13});
+    UNSIGNED_LONGS_EQUAL(9, last->current->state->version);
+}
+
+// A store that drops its history leaves watches waiting that it will not tell
+// of changes before. Guards against finding out after the bound of 3 s.
+TEST(forward_control, no_watch_waits_up_to_the_bound_of_its_kind)
+{
+    start();
+    CHECK(store.waits[store_kind::manifests] <= from_ms(2000));
+    CHECK(store.waits[store_kind::upstreams] <= from_ms(2000));
+    CHECK(store.waits[store_kind::evacuations] <= from_ms(4000));
+}
+
+// Guards against kinds that wait on while another has learnt that the history
+// is lost.
+TEST(forward_control, lost_history_of_one_kind_lists_every_kind)
+{
+    start();
+    auto const stale = store.on_watch[store_kind::manifests];
+    store.watched(store_kind::upstreams, store_error::history_gone);
+    LONGS_EQUAL(2, store.lists[store_kind::manifests]);
+    LONGS_EQUAL(2, store.lists[store_kind::upstreams]);
+    LONGS_EQUAL(2, store.lists[store_kind::evacuations]);
+    // The old watch ends late; its result is not counted twice.
+    stale(store_events{.revision = 11});
+    LONGS_EQUAL(2, store.lists[store_kind::manifests]);
+}
+
+// Guards against waiting out the delay of a failed call after the store has
+// returned.
+TEST(forward_control, calls_again_when_the_store_returns)
+{
+    control.start();
+    for (int i = 0; i < 8; ++i) {
+        store.listed(store_kind::manifests, store_error::unavailable);
+        control.store_returned();
+        CHECK(wait_list(store_kind::manifests, i + 2));
+    }
+}
--- /dev/null
+++ b/tests/core/forward/gather_test.cpp
@@ -0,0 +1,119 @@
+#include "forward_fixture.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace snipemill;
+using namespace snipemill::test;
+
+TEST_GROUP(gather)
+{
+    forward_fixture f{4};
+
+    merged_answer const& merged(run_driver const& run)
+    {
+        CHECK(run.answer && std::holds_alternative<merged_answer>(*run.answer));
+        return std::get<merged_answer>(*run.answer);
+    }
+};
+
+// Guards against a merged answer that is not the greatest records of its parts.
+TEST(gather, merges_the_parts)
+{
+    run_driver run(f, f.gather_route());
+    f.exchanges.end(0, good_answer("aaaa"));
+    f.exchanges.end(1, good_answer("ddddcccc"));
+    f.exchanges.end(2, good_answer(""));
+    CHECK_FALSE(run.answer.has_value());
+    f.exchanges.end(3, good_answer("bbbb"));
+    STRCMP_EQUAL("ddddcccc", merged(run).body.c_str());
+    UNSIGNED_LONGS_EQUAL(4, merged(run).proofs.size());
+    UNSIGNED_LONGS_EQUAL(0, merged(run).missing);
+}
+
+// Load: one replica of a shard pauses. Guards against a query that waits for
+// the pause while the other replica is free.
+TEST(gather, asks_another_replica_of_a_silent_shard)
+{
+    run_driver run(f, f.gather_route());
+    for (std::size_t i = 0; i < 3; ++i) {
+        f.exchanges.end(i, good_answer());
+    }
+    run.pass(from_ms(30));
+    UNSIGNED_LONGS_EQUAL(5, f.exchanges.all.size());
+    STRCMP_EQUAL("b3", f.exchanges.instance(4).c_str());
+    f.exchanges.end(4, good_answer());
+    UNSIGNED_LONGS_EQUAL(0, merged(run).missing);
+}
+
+// Load: stragglers in a fan-out. Guards against a late answer where one that
+// lacks a part is in time, and against one that hides what is missing.
+TEST(gather, answers_at_the_objective_with_the_parts_that_are_in)
+{
+    run_driver run(f, f.gather_route(2, 0.75));
+    for (std::size_t i = 0; i < 3; ++i) {
+        f.exchanges.end(i, good_answer("aaaa"));
+    }
+    run.pass(from_ms(99));
+    UNSIGNED_LONGS_EQUAL(1, merged(run).missing);
+    UNSIGNED_LONGS_EQUAL(3, merged(run).proofs.size());
+}
+
+// Guards against an answer below the share that the route demands.
+TEST(gather, waits_on_when_too_few_parts_are_in)
+{
+    run_driver run(f, f.gather_route(2, 0.75));
+    f.exchanges.end(0, good_answer());
+    f.exchanges.end(1, good_answer());
+    run.pass(from_ms(300));
+    CHECK_FALSE(run.answer.has_value());
+    f.exchanges.end(2, good_answer());
+    run.pass(from_ms(1));
+    UNSIGNED_LONGS_EQUAL(1, merged(run).missing);
+}
+
+// Load: all upstreams of a shard are down. Guards against waiting for it.
+TEST(gather, leaves_out_a_shard_that_cannot_be_reached)
+{
+    f.upstream("a2")->reach = reachability::unreachable;
+    f.upstream("b2")->reach = reachability::unreachable;
+    run_driver run(f, f.gather_route(2, 0.75));
+    UNSIGNED_LONGS_EQUAL(3, f.exchanges.all.size());
+    for (std::size_t i = 0; i < 3; ++i) {
+        f.exchanges.end(i, good_answer());
+    }
+    UNSIGNED_LONGS_EQUAL(1, merged(run).missing);
+}
+
+// Load: too many shards are down. Guards against work for an answer that
+// cannot be given.
+TEST(gather, is_refused_at_once_when_too_few_shards_can_be_reached)
+{
+    for (auto const* const it : {"a1", "b1", "a2", "b2"}) {
+        f.upstream(it)->reach = reachability::unreachable;
+    }
+    run_driver run(f, f.gather_route(2, 0.75));
+    UNSIGNED_LONGS_EQUAL(503, run.status());
+    UNSIGNED_LONGS_EQUAL(0, f.exchanges.all.size());
+}
+
+// Guards against "not run" when some parts have run.
+TEST(gather, a_failure_after_some_parts_ran_is_no_refusal)
+{
+    run_driver run(f, f.gather_route(2, 1));
+    f.exchanges.end(0, good_answer());
+    f.exchanges.end(1, exchange_lost{});
+    f.exchanges.end(4, exchange_lost{});
+    UNSIGNED_LONGS_EQUAL(502, run.status());
+}
+
+// Guards against a failure of an upstream that is counted as a part.
+TEST(gather, a_failure_with_a_proof_is_not_a_part)
+{
+    run_driver run(f, f.gather_route(2, 0.75));
+    f.exchanges.end(0, upstream_answer{.status = 500, .proof = "p"});
+    f.exchanges.end(4, upstream_answer{.status = 500, .proof = "p"});
+    for (std::size_t i = 1; i < 4; ++i) {
+        f.exchanges.end(i, good_answer());
+    }
+    UNSIGNED_LONGS_EQUAL(1, merged(run).missing);
+}
--- /dev/null
+++ b/tests/core/forward/repeat_budget_test.cpp
@@ -0,0 +1,69 @@
+#include "core/forward/repeat_budget.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <deque>
+
+using namespace snipemill;
+
+TEST_GROUP(repeat_budget)
+{
+    time_point now{from_ms(50'000)};
+    repeat_budget budget{{.ratio = 0.2, .floor = 2}};
+
+    int take_all(repeat_budget::use kind)
+    {
+        int n = 0;
+        while (budget.take(kind, now)) {
+            ++n;
+        }
+        return n;
+    }
+};
+
+// Guards against a host that repeats without limit when it has no requests.
+TEST(repeat_budget, floor_bounds_repeats_without_requests)
+{
+    LONGS_EQUAL(2, take_all(repeat_budget::use::retry));
+    now += from_ms(5000);
+    LONGS_EQUAL(0, take_all(repeat_budget::use::retry));
+    now += from_ms(7000);
+    LONGS_EQUAL(2, take_all(repeat_budget::use::retry));
+}
+
+// Guards against hedges that use up what retries need.
+TEST(repeat_budget, hedges_leave_room_for_retries)
+{
+    for (int i = 0; i < 100; ++i) {
+        budget.count_request(now);
+    }
+    LONGS_EQUAL(16, take_all(repeat_budget::use::hedge));
+    LONGS_EQUAL(6, take_all(repeat_budget::use::retry));
+}
+
+// Load: failures after a busy time. Guards against more repeats in any window
+// than the ratio of the requests in a window around it allows.
+TEST(repeat_budget, no_window_exceeds_the_ratio)
+{
+    std::deque<time_point> extra;
+    std::deque<time_point> requests;
+    for (int ms = 0; ms < 60'000; ms += 20) {
+        now += from_ms(20);
+        if (ms < 15'000 || (ms > 30'000 && ms < 32'000)) {
+            budget.count_request(now);
+            requests.push_back(now);
+        }
+        if (budget.take(repeat_budget::use::retry, now)) {
+            extra.push_back(now);
+        }
+        while (!extra.empty() && now - extra.front() > from_ms(10'000)) {
+            extra.pop_front();
+        }
+        // The requests of this window or of the one before count.
+        while (!requests.empty() && now - requests.front() > from_ms(20'000)) {
+            requests.pop_front();
+        }
+        CHECK(static_cast<double>(extra.size()) <=
+              2 + 0.2 * static_cast<double>(requests.size()));
+    }
+}
--- /dev/null
+++ b/tests/core/forward/store_mirror_test.cpp
@@ -0,0 +1,112 @@
+#include "core/forward/store_mirror.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace snipemill;
+
+TEST_GROUP(store_mirror)
+{
+    time_point now{from_ms(50'000)};
+    store_mirror mirror{{}};
+
+    static store_entry entry(std::string name, bool draining = false)
+    {
+        return {.name = name,
+                .value =
+                    upstream_record{.instance = name, .draining = draining}};
+    }
+    static store_page page(std::vector<store_entry> entries,
+                           std::uint64_t revision, bool truncated = false)
+    {
+        return {.entries = std::move(entries),
+                .truncated = truncated,
+                .revision = revision};
+    }
+    static store_events deleted(std::string name, std::uint64_t revision)
+    {
+        return {.events = {{.entry = entry(std::move(name)), .deleted = true}},
+                .revision = revision};
+    }
+    std::string names()
+    {
+        mirror.expire(now);
+        std::string out;
+        mirror.for_each(
+            [&](std::string const& name, store_value const&) { out += name; });
+        return out;
+    }
+};
+
+// Guards against changes that are lost between the pages of a listing.
+TEST(store_mirror, watches_from_the_first_page)
+{
+    mirror.on_page(page({entry("a")}, 10, true), now);
+    CHECK(std::get<list_action>(mirror.next()).after == "a");
+    CHECK_FALSE(mirror.ready());
+    mirror.on_page(page({entry("b")}, 12), now);
+    CHECK(mirror.ready());
+    UNSIGNED_LONGS_EQUAL(10, std::get<watch_action>(mirror.next()).revision);
+    STRCMP_EQUAL("ab", names().c_str());
+}
+
+// Guards against dropping upstreams whose entries lapsed while the store was
+// away, and against using one that does not come back.
+TEST(store_mirror, a_vanished_entry_is_used_for_a_time)
+{
+    mirror.on_page(page({entry("a"), entry("b")}, 10), now);
+    mirror.on_events(deleted("a", 11), now);
+    mirror.on_events(deleted("b", 12), now);
+    now += from_ms(1900);
+    STRCMP_EQUAL("ab", names().c_str());
+    mirror.on_events({.events = {{.entry = entry("b")}}, .revision = 13}, now);
+    now += from_ms(200);
+    STRCMP_EQUAL("b", names().c_str());
+}
+
+// Guards against new work for an upstream that has announced its leave.
+TEST(store_mirror, a_leaving_entry_is_dropped_at_once)
+{
+    mirror.on_page(page({entry("a", true)}, 10), now);
+    mirror.on_events(deleted("a", 11), now);
+    STRCMP_EQUAL("", names().c_str());
+}
+
+// Guards against an upstream that left while the history was lost and is used
+// beyond the bound, 3 s after it may have gone.
+TEST(store_mirror, lost_history_counts_the_hold_from_the_last_answer)
+{
+    mirror.on_page(page({entry("a"), entry("b")}, 10), now);
+    auto const known = now;
+    now += from_ms(2000);
+    mirror.on_error(store_error::history_gone, 1);
+    CHECK(std::holds_alternative<list_action>(mirror.next()));
+    mirror.on_page(page({entry("b")}, 20), now);
+    now = known + from_ms(2300);
+    STRCMP_EQUAL("b", names().c_str());
+}
+
+// Guards against the same hold after an outage: every entry may have lapsed.
+TEST(store_mirror, an_outage_counts_the_hold_from_its_end)
+{
+    mirror.on_page(page({entry("a")}, 10), now);
+    now += from_ms(20'000);
+    mirror.on_error(store_error::unavailable, 1);
+    mirror.on_error(store_error::unavailable, 2);
+    mirror.on_error(store_error::history_gone, 1);
+    mirror.on_page(page({}, 20), now);
+    now += from_ms(1900);
+    STRCMP_EQUAL("a", names().c_str());
+    now += from_ms(200);
+    STRCMP_EQUAL("", names().c_str());
+}
+
+// Guards against a listing that begins in the middle after a failed page.
+TEST(store_mirror, a_failed_listing_begins_again)
+{
+    mirror.on_page(page({entry("a")}, 10, true), now);
+    mirror.on_error(store_error::unavailable, 1);
+    STRCMP_EQUAL("", std::get<list_action>(mirror.next()).after.c_str());
+    mirror.on_page(page({entry("b")}, 12), now);
+    now += from_ms(3000);
+    STRCMP_EQUAL("b", names().c_str());
+}
--- /dev/null
+++ b/tests/core/forward/upstream_fleet_test.cpp
@@ -0,0 +1,146 @@
+#include "forward_fixture.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace snipemill;
+using namespace snipemill::test;
+
+TEST_GROUP(upstream_fleet)
+{
+    forward_fixture f;
+
+    std::string choose()
+    {
+        no_choice why{};
+        auto const it =
+            f.fleet.choose({.service = f.names.data(), .now = f.now}, why);
+        return it                            ? it->record.instance
+               : why == no_choice::saturated ? "saturated"
+                                             : "none";
+    }
+};
+
+// Guards against bytes between data centres that nothing calls for.
+TEST(upstream_fleet, prefers_the_own_data_centre)
+{
+    STRCMP_EQUAL("a0", choose().c_str());
+}
+
+// Load: an upstream pauses. Guards against requests that queue behind one that
+// has been silent, and against avoiding it after it has answered again.
+TEST(upstream_fleet, avoids_a_silent_upstream_until_it_answers)
+{
+    auto const a = f.upstream("a0");
+    auto const start = f.now;
+    a->sent(start);
+    f.now += from_ms(35);
+    STRCMP_EQUAL("b0", choose().c_str());
+    a->answered(start, f.now, 1);
+    STRCMP_EQUAL("a0", choose().c_str());
+}
+
+// Load: an upstream is ten times slower. Guards against sending to it while
+// the other replica is fast, and against never trying it again.
+TEST(upstream_fleet, avoids_a_slow_upstream_for_a_time)
+{
+    auto const a = f.upstream("a0");
+    for (int i = 0; i < 5; ++i) {
+        a->sent(f.now);
+        a->answered(f.now, f.now, 10);
+    }
+    STRCMP_EQUAL("b0", choose().c_str());
+    f.now += from_ms(15'000);
+    STRCMP_EQUAL("a0", choose().c_str());
+}
+
+// Load: an upstream fails part of its requests while its health is good.
+TEST(upstream_fleet, avoids_a_failing_upstream)
+{
+    auto const a = f.upstream("a0");
+    for (int i = 0; i < 3; ++i) {
+        a->sent(f.now);
+        a->failed(f.now, f.now);
+    }
+    STRCMP_EQUAL("b0", choose().c_str());
+}
+
+// Load: a data centre is cut off and its connections hang. Guards against each
+// shard finding out by itself.
+TEST(upstream_fleet, suspects_a_data_centre_whose_upstreams_are_silent)
+{
+    forward_fixture wide(4);
+    for (auto const* const it : {"a0", "a1", "a2"}) {
+        wide.fleet.overdue(*wide.upstream(it));
+    }
+    no_choice why{};
+    choice_request const request{.service = &wide.names[3], .now = wide.now};
+    STRCMP_EQUAL("b3",
+                 wide.fleet.choose(request, why)->record.instance.c_str());
+    wide.fleet.alive(*wide.upstream("a1"));
+    STRCMP_EQUAL("a3",
+                 wide.fleet.choose(request, why)->record.instance.c_str());
+}
+
+// Guards against new requests to upstreams that leave, are evacuated, answer
+// as another instance or cannot be connected.
+TEST(upstream_fleet, uses_no_upstream_that_may_not_be_used)
+{
+    f.records[0].draining = true;
+    f.update();
+    STRCMP_EQUAL("b0", choose().c_str());
+    f.evacuated.insert("b");
+    f.update();
+    STRCMP_EQUAL("none", choose().c_str());
+    CHECK_FALSE(f.fleet.available("s0", f.now));
+    f.evacuated.clear();
+    f.update();
+    f.upstream("b0")->misplaced = true;
+    STRCMP_EQUAL("none", choose().c_str());
+    f.upstream("b0")->misplaced = false;
+    f.upstream("b0")->reach = reachability::unreachable;
+    STRCMP_EQUAL("none", choose().c_str());
+}
+
+// Guards against a lifetime that inherits what is known of the one before.
+TEST(upstream_fleet, a_restarted_instance_is_a_new_upstream)
+{
+    auto const before = f.upstream("a0");
+    before->misplaced = true;
+    f.records[0].started_ms = 5;
+    auto const changes = f.fleet.update(f.records, {}, f.now);
+    UNSIGNED_LONGS_EQUAL(1, changes.added.size());
+    UNSIGNED_LONGS_EQUAL(1, changes.removed.size());
+    CHECK_FALSE(before->listed);
+    STRCMP_EQUAL("a0", choose().c_str());
+}
+
+// Guards against more requests to an upstream than this host's share of its
+// connections.
+TEST(upstream_fleet, keeps_to_the_share_of_connections)
+{
+    f.fleet.set_services({{.name = "s0", .max_connections = 16}});
+    f.fleet.set_hosts(8);
+    f.upstream("b0")->misplaced = true;
+    auto const a = f.upstream("a0");
+    a->sent(f.now);
+    STRCMP_EQUAL("a0", choose().c_str());
+    a->sent(f.now);
+    STRCMP_EQUAL("saturated", choose().c_str());
+}
+
+// Load: cold upstreams collapse under their usual load. Guards against more
+// requests per second to a cold upstream than this host's share.
+TEST(upstream_fleet, paces_a_cold_upstream)
+{
+    f.fleet.set_services({{.name = "s0", .cold_rate = 40}});
+    f.records[0].cold_left = from_ms(3000);
+    f.records[1].draining = true;
+    f.update();
+    STRCMP_EQUAL("a0", choose().c_str());
+    STRCMP_EQUAL("saturated", choose().c_str());
+    f.now += from_ms(200); // 8 hosts share 40 requests/s
+    STRCMP_EQUAL("a0", choose().c_str());
+    f.now += from_ms(3000); // warm
+    STRCMP_EQUAL("a0", choose().c_str());
+    STRCMP_EQUAL("a0", choose().c_str());
+}
--- /dev/null
+++ b/tests/platform/documents_test.cpp
@@ -0,0 +1,154 @@
+#include "platform/documents.hpp"
+#include "platform/platform.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace snipemill;
+using namespace snipemill::platform;
+
+namespace {
+
+constexpr char const* manifest_text = R"({"version": 7, "routes": [
+  {"name": "r1", "host": "h", "path_prefix": "/a/", "type": "idempotent",
+   "timeout_ms": 400, "target_latency_ms": 40, "priority": 2, "attempts": 3,
+   "gather": ["s1", "s2"], "top_k": 5, "min_shard_ratio": 0.75},
+  {"name": "r2", "host": "h", "path_prefix": "/b/",
+   "type": "non_idempotent", "timeout_ms": 2500, "backend": "s1"},
+  {"name": "r3", "host": "h", "path_prefix": "/c/", "type": "idempotent",
+   "timeout_ms": 10, "weighted_backends": [
+     {"backend": "s1", "weight": 9}, {"backend": "s2", "weight": 1}]}],
+ "services": [{"name": "s1", "max_conns": 25, "warmup_per_s": 1.5},
+              {"name": "s2"}],
+ "limits": {"max_header_bytes": 100, "max_body_bytes": 200,
+            "header_timeout_ms": 300, "idle_timeout_ms": 400}})";
+
+constexpr char const* server_text =
+    R"({"backend": "s1", "address": "192.0.2.9:8080", "zone": "z",
+        "version": "v1", "max_concurrency": 2, "state": "ready",
+        "warmup_left_ms": 1500, "sequence": 4, "born": 1700000000000})";
+
+std::string page(std::string const& name, std::string const& spec)
+{
+    return R"({"items": [{"meta": {"name": ")" + name +
+           R"(", "revision": 3}, "spec": )" + spec +
+           R"(, "status": null}], "truncated": false, "store_revision": 9})";
+}
+
+store_value decode(store_kind kind, std::string const& name,
+                   std::string const& spec)
+{
+    auto const out = decode_page(kind, page(name, spec));
+    CHECK(out.has_value());
+    UNSIGNED_LONGS_EQUAL(1, out->entries.size());
+    return out->entries[0].value;
+}
+
+std::string replaced(std::string text, std::string const& from,
+                     std::string const& to)
+{
+    return text.replace(text.find(from), from.size(), to);
+}
+
+} // namespace
+
+TEST_GROUP(documents){};
+
+// Guards against fields of a manifest that are read as something else.
+TEST(documents, reads_a_manifest)
+{
+    auto const value = decode(store_kind::manifests, "main", manifest_text);
+    auto const& it = *std::get<std::shared_ptr<manifest const>>(value);
+    UNSIGNED_LONGS_EQUAL(7, it.version);
+    auto const& gather = std::get<gather_target>(it.routes[0].target);
+    UNSIGNED_LONGS_EQUAL(2, gather.shards.size());
+    UNSIGNED_LONGS_EQUAL(5, gather.top);
+    UNSIGNED_LONGS_EQUAL(16, gather.record_bytes);
+    DOUBLES_EQUAL(0.75, gather.min_share, 1e-9);
+    CHECK(it.routes[0].kind == repetition::idempotent);
+    CHECK(it.routes[0].objective == from_ms(40));
+    UNSIGNED_LONGS_EQUAL(3, it.routes[0].attempts);
+    CHECK(it.routes[1].kind == repetition::at_most_once);
+    CHECK(it.routes[1].objective == from_ms(2500));
+    UNSIGNED_LONGS_EQUAL(1, it.routes[1].attempts);
+    auto const& weighted = std::get<weighted_target>(it.routes[2].target);
+    UNSIGNED_LONGS_EQUAL(9, weighted.parts[0].weight);
+    UNSIGNED_LONGS_EQUAL(25, it.services[0].max_connections);
+    DOUBLES_EQUAL(1.5, it.services[0].cold_rate, 1e-9);
+    UNSIGNED_LONGS_EQUAL(200, it.limits.max_body);
+    CHECK(it.limits.idle_timeout == from_ms(400));
+}
+
+// Guards against another object of the kind that is taken for the manifest.
+TEST(documents, reads_only_the_newest_manifest)
+{
+    auto const value = decode(store_kind::manifests, "other", manifest_text);
+    CHECK(std::holds_alternative<unreadable_entry>(value));
+}
+
+// Guards against a manifest that is in force in part.
+TEST(documents, a_manifest_with_a_spoilt_route_is_unreadable)
+{
+    auto const text = replaced(manifest_text, R"("host": "h")", R"("host": 3)");
+    auto const value = decode(store_kind::manifests, "main", text);
+    CHECK(std::holds_alternative<unreadable_entry>(value));
+}
+
+TEST(documents, reads_an_upstream)
+{
+    auto const value = decode(store_kind::upstreams, "i-1", server_text);
+    upstream_record const expected{.instance = "i-1",
+                                   .service = "s1",
+                                   .ip = "192.0.2.9",
+                                   .port = 8080,
+                                   .data_centre = "z",
+                                   .slots = 2,
+                                   .draining = false,
+                                   .cold_left = from_ms(1500),
+                                   .started_ms = 1'700'000'000'000};
+    CHECK(std::get<upstream_record>(value) == expected);
+}
+
+// Guards against one entry of another writer that spoils the others, and
+// against using it.
+TEST(documents, spoilt_upstreams_are_unreadable)
+{
+    for (auto const& [from, to] :
+         {std::pair<std::string, std::string>{R"("ready")", R"("strange")"},
+          {R"("s1")", "17"},
+          {R"("192.0.2.9:8080")", R"("192.0.2.9")"},
+          {R"("192.0.2.9:8080")", R"("192.0.2.9:99999")"},
+          {R"("max_concurrency": 2)", R"("max_concurrency": "2")"},
+          {R"("zone": "z",)", ""}}) {
+        auto const value = decode(store_kind::upstreams, "i-1",
+                                  replaced(server_text, from, to));
+        CHECK(std::holds_alternative<unreadable_entry>(value));
+    }
+    CHECK(std::holds_alternative<unreadable_entry>(
+        decode(store_kind::upstreams, "i-1", R"("bytes")")));
+    CHECK(std::holds_alternative<unreadable_entry>(
+        decode(store_kind::upstreams, "i-1", "null")));
+}
+
+TEST(documents, reads_events)
+{
+    auto const out = decode_events(
+        store_kind::evacuations,
+        R"({"events": [{"deleted": true, "object": {"meta": {"name": "z"},
+            "spec": {}}}, {"deleted": false, "object": 3}],
+            "store_revision": 12})");
+    CHECK(out.has_value());
+    UNSIGNED_LONGS_EQUAL(1, out->events.size());
+    CHECK(out->events[0].deleted);
+    STRCMP_EQUAL("z", out->events[0].entry.name.c_str());
+    UNSIGNED_LONGS_EQUAL(12, out->revision);
+}
+
+// Guards against an answer that is no listing and empties the mirror.
+TEST(documents, other_answers_are_no_listing)
+{
+    for (auto const* const it : {"", "{}", "[]", R"({"items": []})",
+                                 R"({"items": 3, "store_revision": 1})"}) {
+        CHECK_FALSE(decode_page(store_kind::upstreams, it).has_value());
+        CHECK_FALSE(decode_events(store_kind::upstreams, it).has_value());
+    }
+}
--- /dev/null
+++ b/tests/platform/object_store_test.cpp
@@ -0,0 +1,111 @@
+#include "platform/object_store.hpp"
+#include "support/raw_peer.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+
+using namespace snipemill;
+using namespace snipemill::test;
+
+namespace {
+
+std::string answer(std::string const& status, std::string const& body)
+{
+    return "HTTP/1.1 " + status +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+}
+
+} // namespace
+
+TEST_GROUP(object_store)
+{
+    boost::asio::io_context io;
+    raw_server server{io};
+    platform::object_store store{io,
+                                 {.ip = "127.0.0.1",
+                                  .port = server.port(),
+                                  .call_timeout = from_ms(200)},
+                                 nullptr};
+    std::optional<std::variant<store_page, store_error>> page;
+    std::optional<std::variant<store_events, store_error>> events;
+
+    void list(std::string after = "")
+    {
+        store.list(store_kind::upstreams, std::move(after),
+                   [this](auto result) { page = std::move(result); });
+    }
+    void watch()
+    {
+        store.watch(store_kind::manifests, 530, from_ms(200),
+                    [this](auto result) { events = std::move(result); });
+    }
+    // Waits for a request and returns its first line.
+    std::string request()
+    {
+        CHECK(run_until(io, [&] {
+            return !server.peers.empty() &&
+                   server.peers.back()->has("\r\n\r\n");
+        }));
+        auto const& in = server.peers.back()->in;
+        return in.substr(0, in.find("\r\n"));
+    }
+};
+
+TEST(object_store, lists_the_entries_after_a_name)
+{
+    list("i-1");
+    STRCMP_EQUAL("GET /v1/objects/servers?after=i-1 HTTP/1.1",
+                 request().c_str());
+    server.peers[0]->send(answer(
+        "200 OK", R"({"items": [], "truncated": true, "store_revision": 3})"));
+    CHECK(run_until(io, [&] { return page.has_value(); }));
+    CHECK(std::get<store_page>(*page).truncated);
+}
+
+TEST(object_store, watches_from_a_revision)
+{
+    watch();
+    STRCMP_EQUAL("GET /v1/objects/config?watch=530&wait_ms=200 HTTP/1.1",
+                 request().c_str());
+    server.peers[0]->send(
+        answer("200 OK", R"({"events": [], "store_revision": 531})"));
+    CHECK(run_until(io, [&] { return events.has_value(); }));
+    UNSIGNED_LONGS_EQUAL(531, std::get<store_events>(*events).revision);
+}
+
+// Guards against a lost history that is taken for an outage: the mirror would
+// watch again from the same place for ever.
+TEST(object_store, tells_a_lost_history_from_an_outage)
+{
+    watch();
+    request();
+    server.peers[0]->send(answer("410 Gone", "{}"));
+    CHECK(run_until(io, [&] { return events.has_value(); }));
+    CHECK(std::get<store_error>(*events) == store_error::history_gone);
+}
+
+// Guards against a refused, spoilt or missing answer that is taken for an
+// empty listing.
+TEST(object_store, other_answers_are_an_outage)
+{
+    for (auto const* const status :
+         {"503 Service Unavailable", "429 Too Many Requests", "200 OK"}) {
+        page.reset();
+        list();
+        request();
+        server.peers.back()->send(answer(status, "not json"));
+        server.peers.back()->in.clear();
+        CHECK(run_until(io, [&] { return page.has_value(); }));
+        CHECK(std::get<store_error>(*page) == store_error::unavailable);
+    }
+}
+
+// Guards against a store that never answers and blocks its follower.
+TEST(object_store, a_silent_store_is_an_outage)
+{
+    watch();
+    CHECK(run_until(io, [&] { return events.has_value(); }));
+    CHECK(std::get<store_error>(*events) == store_error::unavailable);
+}
