Let a leaving host end without the logging library's shutdown

Ruled out: the traffic thread, the store's client, open callers. The queue of log lines is flushed, then the process ends.

--- a/src/cli/forward.cpp
+++ b/src/cli/forward.cpp
@@ -9,6 +9,7 @@
 
 #include <unistd.h>
 
+#include <cstdlib>
 #include <iostream>
 #include <string>
 #include <utility>
@@ -48,7 +49,7 @@
                                                     std::move(on_state));
 }
 
-int serve(forward_settings settings, std::string const& file)
+[[noreturn]] void serve(forward_settings settings, std::string const& file)
 {
     line_queue lines(STDOUT_FILENO, {});
     start_logging(log_format::json, lines);
@@ -64,8 +65,10 @@
         code = exit_unavailable;
     }
     lines.flush();
-    stop_logging();
-    return code;
+    // The logging library joins a pool of threads when it stops, which can
+    // take longer than a host may take to leave. Nothing is left to be
+    // written, so its shutdown is skipped.
+    std::quick_exit(code);
 }
 
 } // namespace
@@ -79,7 +82,7 @@
     BOOST_LEAF_AUTO(args, parse_arguments(options, argc, argv));
     BOOST_LEAF_AUTO(file, required(args, "config"));
     BOOST_LEAF_AUTO(settings, load(file));
-    return serve(std::move(settings), file);
+    serve(std::move(settings), file);
 }
 
 leaf::result<int> run_check_forward(int argc, char** argv)
