--- a/src/adapters/settings/forward_settings.hpp
+++ b/src/adapters/settings/forward_settings.hpp
@@ -32,10 +32,10 @@
     repeat_budget_settings repeats;
     // Hosts that are assumed to share the connections of an upstream.
     std::uint32_t hosts = 8;
-    duration leave_within = from_ms(3000); // upstreams that leave get no work
+    duration leave_within = from_ms(3000);  // upstreams that leave get no work
     duration change_within = from_ms(3000); // manifests are in force
     duration evacuate_within = from_ms(5000);
-    duration stop_within = from_ms(6000);  // after SIGTERM the host is killed
+    duration stop_within = from_ms(6000); // after SIGTERM the host is killed
 
     friend bool operator==(forward_settings const&,
                            forward_settings const&) = default;
