Take a host that is cut off out of rotation

A host now is not ready when every upstream of other data centres is unreachable or silent and a route that others can serve cannot be served; its answers ask callers for another connection. A query is refused before anything is sent when too many shards are full, where parts of it ran in vain before.

--- a/src/adapters/forward/forward_text.cpp
+++ b/src/adapters/forward/forward_text.cpp
@@ -1,6 +1,7 @@
 #include "adapters/forward/forward_text.hpp"
 
 #include "adapters/http/error_body.hpp"
+#include "core/base/overloaded.hpp"
 
 #include <algorithm>
 #include <array>
@@ -71,12 +72,6 @@
                        [&](auto const& it) { return it.first == name; });
 }
 
-template <class... F>
-struct overloaded : F...
-{
-    using F::operator()...;
-};
-
 // Retry-After in seconds with fractions, which callers accept.
 std::string seconds_text(duration d)
 {
--- a/src/adapters/forward/upstream_links.cpp
+++ b/src/adapters/forward/upstream_links.cpp
@@ -243,8 +243,8 @@
                                     .request = std::move(request),
                                     .deadline = deadline,
                                     .f = std::move(f)});
-    if (auto connection = take_idle(*it)) {
-        run(it, id, std::move(connection));
+    if (auto const connection = take_idle(*it)) {
+        run(it, id, connection);
         return id;
     }
     it->waiting.push_back(id);
@@ -255,7 +255,7 @@
 }
 
 void upstream_links::run(link_ptr const& it, exchange_id id,
-                         connection_ptr connection)
+                         connection_ptr const& connection)
 {
     auto& open = exchanges_.at(id);
     open.connection = connection;
--- a/src/adapters/forward/upstream_links.hpp
+++ b/src/adapters/forward/upstream_links.hpp
@@ -113,7 +113,8 @@
     void on_connect_failed(link_ptr const& it);
     void connect_later(link_ptr const& it);
     connection_ptr take_idle(upstream_link& it);
-    void run(link_ptr const& it, exchange_id id, connection_ptr connection);
+    void run(link_ptr const& it, exchange_id id,
+             connection_ptr const& connection);
     void on_result(link_ptr const& it, exchange_id id,
                    connection_ptr const& connection, exchange_result result);
     void keep(link_ptr const& it, connection_ptr const& connection,
--- a/src/adapters/http/http_server.cpp
+++ b/src/adapters/http/http_server.cpp
@@ -51,9 +51,9 @@
     options.idle_timeout = idle_timeout;
 }
 
-void http_server::refuse_reuse()
+void http_server::refuse_reuse(bool refuse)
 {
-    impl_->refuse_reuse();
+    impl_->refuse_reuse(refuse);
 }
 
 void http_server::drain()
--- a/src/adapters/http/http_server.hpp
+++ b/src/adapters/http/http_server.hpp
@@ -73,8 +73,8 @@
     // Holds for connections and requests that begin afterwards.
     void set_limits(std::size_t max_header, std::size_t max_body,
                     duration header_timeout, duration idle_timeout);
-    // Tells callers with each response to use another connection.
-    void refuse_reuse();
+    // Whether callers are told with each response to use another connection.
+    void refuse_reuse(bool refuse);
     // Accepts no more connections; open requests are answered, then their
     // connections are closed.
     void drain();
--- a/src/adapters/http/server_core.hpp
+++ b/src/adapters/http/server_core.hpp
@@ -31,7 +31,7 @@
     http_handler const& handler() const { return handler_; }
     http_server_options& mutable_options() { return options_; }
     bool draining() const { return draining_; }
-    void refuse_reuse() { reuse_refused_ = true; }
+    void refuse_reuse(bool refuse) { reuse_refused_ = refuse; }
     bool reuse_refused() const { return reuse_refused_ || draining_; }
     std::size_t open_connections() const { return connections_.size(); }
     std::uint16_t port() const { return listener_->port(); }
--- a/src/adapters/logging/logger.cpp
+++ b/src/adapters/logging/logger.cpp
@@ -93,7 +93,8 @@
     line_queue& lines_;
 };
 
-void set_appender(log_format format, log4cplus::SharedAppenderPtr appender)
+void set_appender(log_format format,
+                  log4cplus::SharedAppenderPtr const& appender)
 {
     auto const* pattern =
         format == log_format::json ? json_pattern : text_pattern;
--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/logging/logger.hpp"
 #include "app/core_time.hpp"
+#include "core/base/overloaded.hpp"
 
 #include <algorithm>
 #include <random>
@@ -29,12 +30,6 @@
 // Part of the bound for leaving upstreams for which a vanished entry is used.
 constexpr double hold_share = 0.66;
 
-template <class... F>
-struct overloaded : F...
-{
-    using F::operator()...;
-};
-
 store_mirror_settings mirror_settings(forward_settings const& from)
 {
     store_mirror_settings out;
--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -4,6 +4,8 @@
 #include "adapters/http/error_body.hpp"
 #include "adapters/logging/logger.hpp"
 #include "app/core_time.hpp"
+#include "core/base/overloaded.hpp"
+#include "core/forward/serving_ability.hpp"
 
 #include <boost/asio/post.hpp>
 
@@ -34,12 +36,6 @@
 // Longest wait of a caller on a route without a timeout.
 constexpr duration default_timeout = from_ms(30'000);
 
-template <class... F>
-struct overloaded : F...
-{
-    using F::operator()...;
-};
-
 std::string ms_text(duration d)
 {
     std::array<char, 32> buf{};
@@ -146,9 +142,21 @@
     }
 }
 
-http_response forward_traffic::on_readiness() const
+http_response forward_traffic::on_readiness()
 {
-    bool const ready = snapshot_ && snapshot_->complete && !leaving_;
+    bool ready = snapshot_ && snapshot_->complete && !leaving_;
+    if (ready) {
+        bool const isolated = cut_off(*snapshot_->current->state, fleet_);
+        if (isolated != cut_off_) {
+            cut_off_ = isolated;
+            // Kept connections would bind their callers to this host.
+            callers_.refuse_reuse(isolated);
+            log_info(isolated ? "cut_off" : "cut_off_ended",
+                     {{"data_centre", settings_.data_centre},
+                      {"upstreams", std::to_string(fleet_.all().size())}});
+        }
+        ready = !isolated;
+    }
     return {.status = ready ? 200U : 503U, .body = "{}"};
 }
 
@@ -366,7 +374,7 @@
 void forward_traffic::start_leaving()
 {
     leaving_ = true;
-    callers_.refuse_reuse();
+    callers_.refuse_reuse(true);
 }
 
 void forward_traffic::drain()
--- a/src/app/forward/forward_traffic.hpp
+++ b/src/app/forward/forward_traffic.hpp
@@ -56,7 +56,7 @@
 
     std::function<void()> on_request(http_request request,
                                      http_responder respond);
-    http_response on_readiness() const;
+    http_response on_readiness();
     std::function<void()> start_run(http_request&& request,
                                     http_responder&& respond,
                                     forward_route const& route,
@@ -90,6 +90,7 @@
     time_point timer_at_ = time_point::max();
     std::uint64_t next_number_ = 1;
     bool leaving_ = false;
+    bool cut_off_ = false;
     http_server callers_;
     http_server readiness_;
 };
--- /dev/null
+++ b/src/core/forward/needed_parts.hpp
@@ -0,0 +1,20 @@
+#pragma once
+
+#include "core/forward/manifest.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <cstddef>
+
+namespace snipemill {
+
+// Shards that have to be in an answer. The small term absorbs the rounding of
+// shares that are given in decimals.
+inline std::size_t needed_parts(gather_target const& target)
+{
+    auto const n = std::ceil(
+        target.min_share * static_cast<double>(target.shards.size()) - 1e-9);
+    return std::max<std::size_t>(1, static_cast<std::size_t>(n));
+}
+
+} // namespace snipemill
--- a/src/core/forward/part_fetch.cpp
+++ b/src/core/forward/part_fetch.cpp
@@ -1,5 +1,7 @@
 #include "core/forward/part_fetch.hpp"
 
+#include "core/base/overloaded.hpp"
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
@@ -11,12 +13,6 @@
 // Attempts that found no connection do not count as sends; this bounds them.
 constexpr std::uint32_t max_connect_failures = 4;
 
-template <class... F>
-struct overloaded : F...
-{
-    using F::operator()...;
-};
-
 bool success(upstream_answer const& it)
 {
     return it.status >= 200 && it.status < 300;
--- a/src/core/forward/request_run.cpp
+++ b/src/core/forward/request_run.cpp
@@ -1,5 +1,6 @@
 #include "core/forward/request_run.hpp"
 
+#include "core/forward/needed_parts.hpp"
 #include "core/forward/part_merge.hpp"
 
 #include <algorithm>
@@ -22,15 +23,6 @@
     return part.done() ? std::get_if<fetch_failure>(&part.result()) : nullptr;
 }
 
-// Shards that have to be in an answer. The small term absorbs the rounding of
-// shares that are given in decimals.
-std::size_t needed_parts(gather_target const& target)
-{
-    auto const n = std::ceil(
-        target.min_share * static_cast<double>(target.shards.size()) - 1e-9);
-    return std::max<std::size_t>(1, static_cast<std::size_t>(n));
-}
-
 } // namespace
 
 request_run::request_run(options o) : o_(std::move(o))
@@ -60,9 +52,7 @@
         o_.shared->budget(*it).count_request(now);
     }
     if (!enough_available(now)) {
-        refuse(503, errc::upstream_unreachable, run_state::not_run,
-               "too few upstreams can be reached",
-               o_.settings->retry_no_upstream);
+        answer_failure(missing_fault());
         return;
     }
     starting_ = true;
@@ -87,6 +77,18 @@
     check(now);
 }
 
+// Why a request is refused before anything was sent.
+fetch_fault request_run::missing_fault() const
+{
+    auto const n = std::count_if(
+        o_.services.begin(), o_.services.end(),
+        [&](auto const* it) { return o_.shared->fleet.reachable(*it); });
+    auto const* const target = gather();
+    auto const needed = target ? needed_parts(*target) : 1;
+    return static_cast<std::size_t>(n) >= needed ? fetch_fault::saturated
+                                                 : fetch_fault::no_upstream;
+}
+
 void request_run::cancel()
 {
     if (done_) {
--- a/src/core/forward/request_run.hpp
+++ b/src/core/forward/request_run.hpp
@@ -71,6 +71,7 @@
         return std::get_if<gather_target>(&o_.route->target);
     }
     bool enough_available(time_point now) const;
+    fetch_fault missing_fault() const;
     void check(time_point now);
     void check_gather(time_point now);
     bool enough_parts() const;
--- /dev/null
+++ b/src/core/forward/serving_ability.cpp
@@ -0,0 +1,56 @@
+#include "core/forward/serving_ability.hpp"
+
+#include "core/base/overloaded.hpp"
+#include "core/forward/needed_parts.hpp"
+
+#include <algorithm>
+#include <string>
+#include <variant>
+
+namespace snipemill {
+
+namespace {
+
+// Whether a route would be served if every listed upstream could be reached,
+// and is not with those that can.
+bool lost(upstream_fleet const& fleet, std::string const& service)
+{
+    return fleet.listed(service) && !fleet.reachable(service);
+}
+
+bool lost(upstream_fleet const& fleet, gather_target const& target)
+{
+    auto const count = [&](auto const& f) {
+        return static_cast<std::size_t>(
+            std::count_if(target.shards.begin(), target.shards.end(), f));
+    };
+    auto const needed = needed_parts(target);
+    return count([&](auto const& it) { return fleet.listed(it); }) >= needed &&
+           count([&](auto const& it) { return fleet.reachable(it); }) < needed;
+}
+
+bool lost(upstream_fleet const& fleet, route_target const& target)
+{
+    return std::visit(
+        overloaded{
+            [&](single_target const& it) { return lost(fleet, it.service); },
+            [&](weighted_target const& it) {
+                return std::any_of(it.parts.begin(), it.parts.end(),
+                                   [&](auto const& part) {
+                                       return lost(fleet, part.service);
+                                   });
+            },
+            [&](gather_target const& it) { return lost(fleet, it); }},
+        target);
+}
+
+} // namespace
+
+bool cut_off(manifest const& state, upstream_fleet const& fleet)
+{
+    return fleet.alone() &&
+           std::any_of(state.routes.begin(), state.routes.end(),
+                       [&](auto const& it) { return lost(fleet, it.target); });
+}
+
+} // namespace snipemill
--- a/src/core/forward/upstream_fleet.cpp
+++ b/src/core/forward/upstream_fleet.cpp
@@ -97,10 +97,21 @@
     }
 }
 
+bool upstream_fleet::takes_requests(upstream_view const& it)
+{
+    return it.listed && !it.record.draining && !it.evacuated && !it.misplaced;
+}
+
 bool upstream_fleet::usable(upstream_view const& it) const
 {
-    return it.listed && !it.record.draining && !it.evacuated && !it.misplaced &&
-           it.reach != reachability::unreachable;
+    return takes_requests(it) && it.reach != reachability::unreachable;
+}
+
+bool upstream_fleet::has_room(service_entry const& entry,
+                              upstream_view const& it, time_point now) const
+{
+    return it.in_flight() < connection_limit(it) &&
+           !cold_and_paced(it, entry.service.cold_rate, now);
 }
 
 std::uint32_t upstream_fleet::connection_limit(upstream_view const& it) const
@@ -161,8 +172,7 @@
         if (!usable(*it) || contains(request.exclude, it)) {
             continue;
         }
-        if (it->in_flight() >= connection_limit(*it) ||
-            cold_and_paced(*it, rate, request.now)) {
+        if (!has_room(entry->second, *it, request.now)) {
             why = no_choice::saturated;
             continue;
         }
@@ -182,7 +192,18 @@
     return best;
 }
 
-bool upstream_fleet::available(std::string const& service, time_point) const
+bool upstream_fleet::available(std::string const& service, time_point now) const
+{
+    auto const entry = services_.find(service);
+    return entry != services_.end() &&
+           std::any_of(entry->second.replicas.begin(),
+                       entry->second.replicas.end(), [&](auto const& it) {
+                           return usable(*it) &&
+                                  has_room(entry->second, *it, now);
+                       });
+}
+
+bool upstream_fleet::reachable(std::string const& service) const
 {
     auto const entry = services_.find(service);
     return entry != services_.end() &&
@@ -191,6 +212,32 @@
                        [this](auto const& it) { return usable(*it); });
 }
 
+bool upstream_fleet::listed(std::string const& service) const
+{
+    auto const entry = services_.find(service);
+    return entry != services_.end() &&
+           std::any_of(entry->second.replicas.begin(),
+                       entry->second.replicas.end(),
+                       [](auto const& it) { return takes_requests(*it); });
+}
+
+bool upstream_fleet::alone() const
+{
+    bool others = false;
+    for (auto const& it : all_) {
+        if (it->record.data_centre == settings_.data_centre ||
+            !takes_requests(*it)) {
+            continue;
+        }
+        if (it->reach != reachability::unreachable &&
+            !suspected(it->record.data_centre)) {
+            return false;
+        }
+        others = true;
+    }
+    return others;
+}
+
 void upstream_fleet::alive(upstream_view const& it)
 {
     auto const silent = silent_.find(it.record.data_centre);
--- a/src/core/forward/upstream_fleet.hpp
+++ b/src/core/forward/upstream_fleet.hpp
@@ -72,6 +72,14 @@
     upstream_ptr choose(choice_request const& request, no_choice& why);
     // Whether a request for the service could be sent now.
     bool available(std::string const& service, time_point now) const;
+    // Whether an upstream of the service can be reached, full or not.
+    bool reachable(std::string const& service) const;
+    // Whether the store lists an upstream of the service that takes requests,
+    // reachable from here or not.
+    bool listed(std::string const& service) const;
+    // Whether upstreams are listed in other data centres and each of them is
+    // unreachable or in a data centre that has fallen silent.
+    bool alone() const;
 
     // Tells that an upstream answered or was connected.
     void alive(upstream_view const& it);
@@ -95,7 +103,11 @@
         time_point next{};
     };
 
+    static bool takes_requests(upstream_view const& it);
     bool usable(upstream_view const& it) const;
+    // Whether this host may send one more request to it.
+    bool has_room(service_entry const& entry, upstream_view const& it,
+                  time_point now) const;
     double score(upstream_view const& it, time_point now) const;
     bool cold_and_paced(upstream_view const& it, double rate,
                         time_point now) const;
--- a/tests/core/forward/gather_test.cpp
+++ b/tests/core/forward/gather_test.cpp
@@ -96,6 +96,22 @@
     UNSIGNED_LONGS_EQUAL(0, f.exchanges.all.size());
 }
 
+// Load: silent upstreams hold all connections that this host may use. Guards
+// against sending parts of a query that cannot be completed, which would then
+// not be a refusal any more.
+TEST(gather, is_refused_at_once_when_too_many_shards_are_full)
+{
+    f.fleet.set_services({{.name = "s0", .max_connections = 8},
+                          {.name = "s1", .max_connections = 8}});
+    for (auto const* const it : {"a0", "b0", "a1", "b1"}) {
+        f.upstream(it)->sent(f.now);
+    }
+    run_driver run(f, f.gather_route(2, 0.75));
+    UNSIGNED_LONGS_EQUAL(503, run.status());
+    UNSIGNED_LONGS_EQUAL(0, f.exchanges.all.size());
+    CHECK(std::get<refused_answer>(*run.answer).retry_after < from_ms(200));
+}
+
 // Guards against "not run" when some parts have run.
 TEST(gather, a_failure_after_some_parts_ran_is_no_refusal)
 {
