Divide the connections of upstreams among the hosts that register

Hosts now write an entry each into the store, renew it each minute and remove it when they leave; its number divides connections, and where there are more hosts than connections each host keeps to a subset of the replicas, its own data centre first. Connections are opened ahead of need once the number of hosts has settled. The log line of a request names the attempts of its troubled parts.

--- a/src/adapters/forward/upstream_links.cpp
+++ b/src/adapters/forward/upstream_links.cpp
@@ -74,7 +74,8 @@
 void upstream_links::add(upstream_ptr const& to)
 {
     auto const it = link_of(to);
-    if (!to->record.draining && !to->evacuated) {
+    if (!to->record.draining && !to->evacuated && !it->timer_set &&
+        it->connecting == 0 && to->in_flight() == 0 && it->idle.empty()) {
         connect(it);
     }
 }
@@ -184,18 +185,32 @@
         std::clamp(it->reconnect_delay * 2, settings_.first_reconnect,
                    settings_.longest_reconnect);
     it->timer.expires_after(it->reconnect_delay);
-    it->timer.async_wait([this, alive = alive_,
-                          it](boost::system::error_code ec) {
-        if (!*alive) {
-            return;
-        }
-        it->timer_set = false;
-        auto const& state = *it->to;
-        if (!ec && !it->removed && it->idle.empty() && it->connecting == 0 &&
-            !state.record.draining && !state.evacuated) {
-            connect(it);
-        }
-    });
+    it->timer.async_wait(
+        [this, alive = alive_, it](boost::system::error_code ec) {
+            if (!*alive) {
+                return;
+            }
+            it->timer_set = false;
+            if (!ec) {
+                reconnect(it);
+            }
+        });
+}
+
+void upstream_links::reconnect(link_ptr const& it)
+{
+    auto& state = *it->to;
+    if (it->removed || !it->idle.empty() || it->connecting > 0 ||
+        state.record.draining || state.evacuated) {
+        return;
+    }
+    if (state.chosen) {
+        connect(it);
+    }
+    else if (state.reach == reachability::unreachable) {
+        // The next request for it finds out.
+        state.reach = reachability::unknown;
+    }
 }
 
 void upstream_links::set_reachable(upstream_link& it, bool reachable)
--- a/src/adapters/forward/upstream_links.hpp
+++ b/src/adapters/forward/upstream_links.hpp
@@ -60,6 +60,7 @@
     upstream_links(upstream_links const&) = delete;
     upstream_links& operator=(upstream_links const&) = delete;
 
+    // Opens a connection ahead of need, unless there is one.
     void add(upstream_ptr const& it);
     // Closes idle connections; exchanges that are open end as usual.
     void remove(upstream_ptr const& it);
@@ -112,6 +113,7 @@
                       bool ok);
     void on_connect_failed(link_ptr const& it);
     void connect_later(link_ptr const& it);
+    void reconnect(link_ptr const& it);
     connection_ptr take_idle(upstream_link& it);
     void run(link_ptr const& it, exchange_id id,
              connection_ptr const& connection);
--- a/src/adapters/platform/platform_calls.cpp
+++ b/src/adapters/platform/platform_calls.cpp
@@ -125,7 +125,7 @@
         return;
     }
     auto* const answer = std::get_if<http_response>(&result);
-    if (answer && answer->status == 200) {
+    if (answer && (answer->status == 200 || answer->status == 201)) {
         f(std::move(*answer));
         return;
     }
--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -22,6 +22,24 @@
 // gathers those that follow into one call.
 constexpr duration upstream_pause = from_ms(150);
 
+// Nothing depends on the time at which a host of the fleet becomes known.
+constexpr duration host_watch = from_ms(20'000);
+constexpr duration host_pause = from_ms(500);
+
+// A host renews its entry this often; an entry that is three times as old is
+// that of a host which ended without leaving.
+constexpr auto renewal_interval = std::chrono::seconds(60);
+constexpr std::int64_t entry_lifetime_ms = 180'000;
+
+// After a failed renewal.
+constexpr auto renewal_retry = std::chrono::seconds(2);
+
+std::int64_t wall_clock_ms()
+{
+    auto const now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 // Delay after failed calls; doubles, is spread by half, and stays below a
 // second so that changes made right after an outage are seen in time.
 constexpr duration first_retry = from_ms(60);
@@ -46,18 +64,20 @@
                                  forward_settings const& settings,
                                  store_port& store, publish_callback publish)
     : io_(io), store_(store), publish_(std::move(publish)),
-      random_(std::random_device()()), expiry_(io)
+      random_(std::random_device()()), host_(settings.name), expiry_(io),
+      renewal_(io)
 {
     auto const mirror = mirror_settings(settings);
-    std::array const bounds{settings.change_within, settings.leave_within,
-                            settings.evacuate_within};
+    std::array const waits{settings.change_within - watch_margin,
+                           settings.leave_within - watch_margin,
+                           settings.evacuate_within - watch_margin, host_watch};
     for (std::size_t i = 0; i < followers_.size(); ++i) {
         followers_[i] =
             std::make_unique<follower>(io, store_kind_names[i].first, mirror);
-        followers_[i]->wait =
-            std::max(shortest_watch, bounds[i] - watch_margin);
+        followers_[i]->wait = std::max(shortest_watch, waits[i]);
     }
     followers_[1]->pause = upstream_pause;
+    followers_[3]->pause = host_pause;
 }
 
 void forward_control::start()
@@ -65,6 +85,47 @@
     for (auto& it : followers_) {
         call(*it);
     }
+    renew();
+}
+
+void forward_control::renew()
+{
+    store_.put_host(host_, {.renewed_ms = wall_clock_ms()}, [this](bool done) {
+        if (leaving_) {
+            return;
+        }
+        renewal_.expires_after(done ? renewal_interval : renewal_retry);
+        renewal_.async_wait([this](boost::system::error_code ec) {
+            if (!ec) {
+                renew();
+            }
+        });
+    });
+}
+
+void forward_control::leave()
+{
+    leaving_ = true;
+    renewal_.cancel();
+    store_.remove_host(host_);
+}
+
+// Entries of hosts that ended without leaving are removed.
+std::size_t forward_control::count_hosts()
+{
+    auto const oldest = wall_clock_ms() - entry_lifetime_ms;
+    std::size_t n = 0;
+    followers_[3]->mirror.for_each(
+        [&](std::string const& name, store_value const& it) {
+            auto const* const entry = std::get_if<host_entry>(&it);
+            if (entry && entry->renewed_ms >= oldest) {
+                ++n;
+            }
+            else if (name != host_) {
+                store_.remove_host(name);
+            }
+        });
+    return n;
 }
 
 void forward_control::store_returned()
@@ -216,7 +277,7 @@
 void forward_control::publish()
 {
     auto const out = std::make_shared<forward_snapshot>();
-    auto& [manifests, upstreams, evacuations] = followers_;
+    auto& [manifests, upstreams, evacuations, hosts] = followers_;
     manifests->mirror.for_each(
         [this](std::string const&, store_value const& it) { adopt(it); });
     out->current = current_;
@@ -231,6 +292,7 @@
         });
     out->complete = upstreams->mirror.ready() && evacuations->mirror.ready() &&
                     current_ != nullptr;
+    out->hosts = hosts->mirror.ready() ? count_hosts() : 0;
     out->upstreams_revision = upstreams->mirror.revision();
     publish_(out);
     arm_expiry();
--- a/src/app/forward/forward_control.hpp
+++ b/src/app/forward/forward_control.hpp
@@ -12,6 +12,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace snipemill {
 
@@ -30,6 +31,8 @@
     forward_control& operator=(forward_control const&) = delete;
 
     void start();
+    // Removes this host's entry from the store.
+    void leave();
     // The store works again after an outage.
     void store_returned();
 
@@ -64,13 +67,18 @@
     void adopt(store_value const& value);
     void publish();
     void arm_expiry();
+    std::size_t count_hosts();
+    void renew();
 
     boost::asio::io_context& io_;
     store_port& store_;
     publish_callback publish_;
     rng random_;
-    std::array<std::unique_ptr<follower>, 3> followers_;
+    std::array<std::unique_ptr<follower>, 4> followers_;
+    std::string host_;
     boost::asio::steady_timer expiry_;
+    boost::asio::steady_timer renewal_;
+    bool leaving_ = false;
     std::shared_ptr<indexed_manifest const> current_;
 };
 
--- a/src/app/forward/forward_host.cpp
+++ b/src/app/forward/forward_host.cpp
@@ -179,6 +179,7 @@
     leaving_ = true;
     log_info("leaving", {{"host", settings_.name}});
     leave_end_ = core_now() + settings_.stop_within - stop_margin;
+    control_->leave();
     asio::post(traffic_io_, [this] { traffic_->start_leaving(); });
     leave_timer_.expires_after(
         std::min(accept_after_signal, settings_.stop_within / 2));
--- a/src/app/forward/forward_snapshot.hpp
+++ b/src/app/forward/forward_snapshot.hpp
@@ -29,6 +29,7 @@
     std::shared_ptr<indexed_manifest const> current; // null: none is known
     std::vector<upstream_record> upstreams;
     std::set<std::string> evacuated;
+    std::size_t hosts = 0; // of the fleet; 0: not known
     bool complete = false; // every kind has been read once
     std::uint64_t upstreams_revision = 0;
 };
--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -33,6 +33,10 @@
 // that callers are usually allowed.
 constexpr duration body_timeout = from_ms(15'000);
 
+// Time without a new host after which the size of the fleet has settled:
+// machines of a fleet start within 0.3 s.
+constexpr auto settle_time = std::chrono::milliseconds(700);
+
 // Longest wait of a caller on a route without a timeout.
 constexpr duration default_timeout = from_ms(30'000);
 
@@ -74,7 +78,8 @@
                                  forward_headers const& names,
                                  forward_metrics& metrics)
     : io_(io), settings_(settings), names_(names), metrics_(metrics),
-      fleet_({.data_centre = settings.data_centre,
+      fleet_({.host = settings.name,
+              .data_centre = settings.data_centre,
               .hosts = static_cast<double>(settings.hosts)},
              std::random_device()()),
       links_(io, fleet_, names, {}, core_now,
@@ -90,7 +95,7 @@
               .settings = {},
               .budget_settings = settings.repeats,
               .now = core_now},
-      timer_(io),
+      timer_(io), warm_timer_(io),
       callers_(io, server_options(settings.callers),
                [this](http_request request, http_responder f) {
                    return on_request(std::move(request), std::move(f));
@@ -119,8 +124,9 @@
     }
     auto const changes =
         fleet_.update(snapshot_->upstreams, snapshot_->evacuated, now);
-    for (auto const& it : changes.added) {
-        links_.add(it);
+    set_hosts(snapshot_->hosts);
+    if (warming_) {
+        warm();
     }
     for (auto const& it : changes.removed) {
         links_.remove(it);
@@ -134,6 +140,34 @@
     }
 }
 
+// Shares of the fleet follow the number of hosts. Connections are opened ahead
+// of need once it has settled, because a starting fleet would otherwise open
+// more than its upstreams take.
+void forward_traffic::set_hosts(std::size_t n)
+{
+    if (n == 0 || static_cast<double>(n) == fleet_.settings().hosts) {
+        return;
+    }
+    log_info("fleet_size", {{"hosts", std::to_string(n)}});
+    fleet_.set_hosts(static_cast<double>(n));
+    warm_timer_.expires_after(settle_time);
+    warm_timer_.async_wait([this](boost::system::error_code ec) {
+        if (!ec) {
+            warming_ = true;
+            warm();
+        }
+    });
+}
+
+void forward_traffic::warm()
+{
+    for (auto const& it : fleet_.all()) {
+        if (it->chosen) {
+            links_.add(it);
+        }
+    }
+}
+
 void forward_traffic::set_repeats(repeat_budget_settings const& settings)
 {
     shared_.budget_settings = settings;
@@ -276,6 +310,7 @@
                          {"sends", std::to_string(summary.sends)},
                          {"hedges", std::to_string(summary.hedges)},
                          {"missing", summary.faults},
+                         {"attempts", summary.attempts},
                          {"reason", reason}});
 }
 
--- a/src/app/forward/forward_traffic.hpp
+++ b/src/app/forward/forward_traffic.hpp
@@ -70,6 +70,8 @@
     void unschedule(std::uint64_t number, open_run& it);
     void arm_timer();
     void on_timer();
+    void set_hosts(std::size_t n);
+    void warm();
     void erase_later(std::uint64_t number);
     void log_request(open_run const& it, unsigned status,
                      std::string_view reason) const;
@@ -89,6 +91,8 @@
     boost::asio::steady_timer timer_;
     time_point timer_at_ = time_point::max();
     std::uint64_t next_number_ = 1;
+    boost::asio::steady_timer warm_timer_;
+    bool warming_ = false; // connections are opened ahead of need
     bool leaving_ = false;
     bool cut_off_ = false;
     http_server callers_;
--- a/src/core/forward/caller_answer.hpp
+++ b/src/core/forward/caller_answer.hpp
@@ -46,6 +46,9 @@
     std::uint32_t sends = 0;
     std::uint32_t hedges = 0;
     std::string faults; // of the parts that are missing
+    // The sends of parts that are missing or took more than one send, up to a
+    // bound.
+    std::string attempts;
 };
 
 } // namespace snipemill
--- a/src/core/forward/part_fetch.cpp
+++ b/src/core/forward/part_fetch.cpp
@@ -18,6 +18,31 @@
     return it.status >= 200 && it.status < 300;
 }
 
+attempt_outcome outcome_of(upstream_answer const& answer)
+{
+    if (answer.wrong_instance) {
+        return attempt_outcome::wrong_instance;
+    }
+    if (answer.not_run) {
+        return attempt_outcome::refused;
+    }
+    if (!success(answer)) {
+        return attempt_outcome::failed;
+    }
+    return answer.proof.empty() ? attempt_outcome::no_proof
+                                : attempt_outcome::answered;
+}
+
+attempt_outcome outcome_of(exchange_outcome const& outcome)
+{
+    return std::visit(
+        overloaded{
+            [](upstream_answer const& it) { return outcome_of(it); },
+            [](exchange_not_sent const&) { return attempt_outcome::not_sent; },
+            [](exchange_lost const&) { return attempt_outcome::lost; }},
+        outcome);
+}
+
 // Time of an exchange over the usual one of its route.
 double relative_latency(route_latency const& latency, duration took)
 {
@@ -209,6 +234,8 @@
 {
     auto const now = o_.shared->now();
     attempts_[n].open = false;
+    attempts_[n].outcome = outcome_of(outcome);
+    attempts_[n].took = now - attempts_[n].start;
     auto const it = attempts_[n]; // another attempt may move the list
     std::visit(overloaded{[&](upstream_answer& answer) {
                               on_answer(it, std::move(answer), now);
@@ -308,6 +335,21 @@
     finish(fetch_failure(std::move(failure_)));
 }
 
+void part_fetch::describe(std::string& out) const
+{
+    auto const now = o_.shared->now();
+    for (auto const& it : attempts_) {
+        bool const open = it.outcome == attempt_outcome::open;
+        out += it.to->record.instance;
+        out += '=';
+        out += name_of(attempt_outcome_names, it.outcome);
+        out += '@';
+        out += std::to_string(
+            static_cast<int>(to_ms(open ? now - it.start : it.took)));
+        out += ' ';
+    }
+}
+
 std::size_t part_fetch::open_attempts() const
 {
     return static_cast<std::size_t>(
--- a/src/core/forward/part_fetch.hpp
+++ b/src/core/forward/part_fetch.hpp
@@ -77,6 +77,30 @@
     {fetch_fault::lost, "lost"},
 }};
 
+// How one send of a request ended.
+enum class attempt_outcome : std::uint8_t
+{
+    open, // not yet, or not waited for
+    answered,
+    not_sent,
+    lost,
+    refused,        // the upstream did not run it
+    failed,         // the upstream's own failure
+    wrong_instance, // another instance has the address
+    no_proof        // a success that proves nothing
+};
+
+inline constexpr name_table<attempt_outcome, 8> attempt_outcome_names{{
+    {attempt_outcome::open, "open"},
+    {attempt_outcome::answered, "answered"},
+    {attempt_outcome::not_sent, "not_sent"},
+    {attempt_outcome::lost, "lost"},
+    {attempt_outcome::refused, "refused"},
+    {attempt_outcome::failed, "failed"},
+    {attempt_outcome::wrong_instance, "wrong_instance"},
+    {attempt_outcome::no_proof, "no_proof"},
+}};
+
 struct fetch_failure
 {
     fetch_fault fault = fetch_fault::no_upstream;
@@ -121,6 +145,8 @@
     bool offered() const { return sends_ > 0; }
     std::uint32_t sends() const { return sends_; }
     std::uint32_t hedges() const { return hedges_; }
+    // The sends in order, as "instance=outcome@ms".
+    void describe(std::string& out) const;
 
 private:
     struct attempt
@@ -130,6 +156,8 @@
         time_point start{};
         bool open = true;
         bool overdue = false; // has been reported so
+        attempt_outcome outcome = attempt_outcome::open;
+        duration took{};
     };
 
     upstream_ptr choose(time_point now, no_choice& why);
--- a/src/core/forward/request_run.cpp
+++ b/src/core/forward/request_run.cpp
@@ -13,6 +13,10 @@
 
 namespace {
 
+// Parts whose sends are told in a log line; more would make the lines of a wide
+// query long when much fails.
+constexpr std::size_t max_described = 4;
+
 upstream_answer const* answer_of(part_fetch& part)
 {
     return part.done() ? std::get_if<upstream_answer>(&part.result()) : nullptr;
@@ -285,6 +289,17 @@
     o_.on_answer(std::move(answer));
 }
 
+void request_run::describe_attempts(std::string& out) const
+{
+    std::size_t n = 0;
+    for (auto const& it : parts_) {
+        if ((it->sends() > 1 || !answer_of(*it)) && n < max_described) {
+            it->describe(out);
+            ++n;
+        }
+    }
+}
+
 run_summary request_run::summary() const
 {
     run_summary out{.route = o_.route->name,
@@ -314,6 +329,7 @@
     if (open > 0) {
         out.faults += "open:" + std::to_string(open);
     }
+    describe_attempts(out.attempts);
     return out;
 }
 
--- a/src/core/forward/request_run.hpp
+++ b/src/core/forward/request_run.hpp
@@ -74,6 +74,7 @@
     fetch_fault missing_fault() const;
     void check(time_point now);
     void check_gather(time_point now);
+    void describe_attempts(std::string& out) const;
     bool enough_parts() const;
     std::size_t parts_in() const;
     std::size_t open_parts() const;
--- a/src/core/forward/upstream_fleet.cpp
+++ b/src/core/forward/upstream_fleet.cpp
@@ -1,5 +1,7 @@
 #include "core/forward/upstream_fleet.hpp"
 
+#include "core/base/hash.hpp"
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
@@ -85,6 +87,7 @@
     for (auto const& it : services) {
         services_[it.name].service = it;
     }
+    choose_subsets();
 }
 
 void upstream_fleet::index()
@@ -95,6 +98,7 @@
     for (auto const& it : all_) {
         services_[it->record.service].replicas.push_back(it);
     }
+    choose_subsets();
 }
 
 bool upstream_fleet::takes_requests(upstream_view const& it)
@@ -157,22 +161,18 @@
     return pace != paces_.end() && now < pace->second.next;
 }
 
-upstream_ptr upstream_fleet::choose(choice_request const& request,
-                                    no_choice& why)
+upstream_ptr upstream_fleet::best_of(service_entry const& entry,
+                                     choice_request const& request,
+                                     bool chosen_only, no_choice& why)
 {
-    why = no_choice::none_known;
-    auto const entry = services_.find(*request.service);
-    if (entry == services_.end()) {
-        return nullptr;
-    }
-    auto const rate = entry->second.service.cold_rate;
     upstream_ptr best;
     auto best_score = std::numeric_limits<double>::max();
-    for (auto const& it : entry->second.replicas) {
-        if (!usable(*it) || contains(request.exclude, it)) {
+    for (auto const& it : entry.replicas) {
+        if (it->chosen != chosen_only || !usable(*it) ||
+            contains(request.exclude, it)) {
             continue;
         }
-        if (!has_room(entry->second, *it, request.now)) {
+        if (!has_room(entry, *it, request.now)) {
             why = no_choice::saturated;
             continue;
         }
@@ -183,6 +183,22 @@
             best_score = value;
         }
     }
+    return best;
+}
+
+upstream_ptr upstream_fleet::choose(choice_request const& request,
+                                    no_choice& why)
+{
+    why = no_choice::none_known;
+    auto const entry = services_.find(*request.service);
+    if (entry == services_.end()) {
+        return nullptr;
+    }
+    auto best = best_of(entry->second, request, true, why);
+    if (!best) {
+        best = best_of(entry->second, request, false, why);
+    }
+    auto const rate = entry->second.service.cold_rate;
     if (best && rate > 0 && best->cold(request.now)) {
         auto const pause = std::chrono::duration<double>(
             std::max(1.0, settings_.hosts) / rate);
@@ -192,6 +208,40 @@
     return best;
 }
 
+void upstream_fleet::set_hosts(double n)
+{
+    settings_.hosts = n;
+    choose_subsets();
+}
+
+void upstream_fleet::choose_subsets()
+{
+    for (auto& [name, entry] : services_) {
+        auto& replicas = entry.replicas;
+        auto const cap = entry.service.max_connections;
+        auto n = replicas.size();
+        if (cap > 0 && cap < settings_.hosts) {
+            auto const share =
+                static_cast<double>(replicas.size()) * cap / settings_.hosts;
+            // Two, so that a request can go to another replica.
+            n = std::clamp(static_cast<std::size_t>(share),
+                           std::min<std::size_t>(2, replicas.size()),
+                           replicas.size());
+        }
+        auto const rank = [this](upstream_ptr const& it) {
+            bool const own = it->record.data_centre == settings_.data_centre;
+            return std::pair(!own, hash_bytes(it->record.instance,
+                                              hash_bytes(settings_.host)));
+        };
+        std::sort(
+            replicas.begin(), replicas.end(),
+            [&](auto const& a, auto const& b) { return rank(a) < rank(b); });
+        for (std::size_t i = 0; i < replicas.size(); ++i) {
+            replicas[i]->chosen = i < n;
+        }
+    }
+}
+
 bool upstream_fleet::available(std::string const& service, time_point now) const
 {
     auto const entry = services_.find(service);
--- a/src/core/forward/upstream_fleet.hpp
+++ b/src/core/forward/upstream_fleet.hpp
@@ -15,6 +15,7 @@
 
 struct upstream_fleet_settings
 {
+    std::string host;        // name of this host
     std::string data_centre; // of this host
     // An upstream in another data centre counts as this much slower, because
     // bytes between data centres cost and take longer.
@@ -90,7 +91,8 @@
 
     std::vector<upstream_ptr> const& all() const { return all_; }
     upstream_fleet_settings const& settings() const { return settings_; }
-    void set_hosts(double n) { settings_.hosts = n; }
+    // Hosts of the fleet, this one included.
+    void set_hosts(double n);
 
 private:
     struct service_entry
@@ -112,6 +114,15 @@
     bool cold_and_paced(upstream_view const& it, double rate,
                         time_point now) const;
     void index();
+    // Divides the connections of upstreams among hosts. Load pattern: many
+    // hosts, few connections. When an upstream has fewer connections than
+    // there are hosts, each host uses some replicas of a service: those of its
+    // own data centre, then those that its name draws.
+    void choose_subsets();
+    // The best replica of those that are chosen, or of all.
+    upstream_ptr best_of(service_entry const& entry,
+                         choice_request const& request, bool chosen_only,
+                         no_choice& why);
 
     upstream_fleet_settings settings_;
     rng random_;
--- a/src/core/forward/upstream_view.hpp
+++ b/src/core/forward/upstream_view.hpp
@@ -36,6 +36,8 @@
     // Another instance answered at its address. Holds until the store's
     // entry changes.
     bool misplaced = false;
+    // Among the replicas that this host keeps connections to.
+    bool chosen = true;
     reachability reach = reachability::unknown;
     time_point cold_until{};
 
--- a/src/ports/store_port.hpp
+++ b/src/ports/store_port.hpp
@@ -16,15 +16,17 @@
 // What the platform's store holds for the host.
 enum class store_kind : std::uint8_t
 {
-    manifests,  // the newest state of routes and services
-    upstreams,  // one entry for each upstream, written by itself
-    evacuations // data centres that are to get no requests
+    manifests,   // the newest state of routes and services
+    upstreams,   // one entry for each upstream, written by itself
+    evacuations, // data centres that are to get no requests
+    hosts        // one entry for each host of the fleet, written by itself
 };
 
-inline constexpr name_table<store_kind, 3> store_kind_names{{
+inline constexpr name_table<store_kind, 4> store_kind_names{{
     {store_kind::manifests, "manifests"},
     {store_kind::upstreams, "upstreams"},
     {store_kind::evacuations, "evacuations"},
+    {store_kind::hosts, "hosts"},
 }};
 
 // An entry that another writer has spoilt.
@@ -35,9 +37,17 @@
 struct evacuation_entry
 {};
 
+// A host of the fleet.
+struct host_entry
+{
+    std::int64_t renewed_ms = 0; // wall clock of the host when it wrote this
+
+    friend bool operator==(host_entry const&, host_entry const&) = default;
+};
+
 using store_value =
     std::variant<unreadable_entry, std::shared_ptr<manifest const>,
-                 upstream_record, evacuation_entry>;
+                 upstream_record, evacuation_entry, host_entry>;
 
 struct store_entry
 {
@@ -91,6 +101,11 @@
     // Events after the revision; none after `wait`.
     virtual void watch(store_kind kind, std::uint64_t revision, duration wait,
                        store_callback<store_events> f) = 0;
+    // Writes the entry of a host. The callback tells whether it was written.
+    virtual void put_host(std::string name, host_entry entry,
+                          std::function<void(bool)> f) = 0;
+    // Removes the entry of a host. Not answered: the next host tries again.
+    virtual void remove_host(std::string name) = 0;
 };
 
 } // namespace snipemill
--- a/tests/app/forward/forward_control_test.cpp
+++ b/tests/app/forward/forward_control_test.cpp
@@ -28,6 +28,17 @@
         on_watch[kind] = std::move(f);
     }
 
+    void put_host(std::string name, host_entry,
+                  std::function<void(bool)> f) override
+    {
+        written.push_back(std::move(name));
+        on_put = std::move(f);
+    }
+    void remove_host(std::string name) override
+    {
+        removed.push_back(std::move(name));
+    }
+
     // A callback makes the next call, which replaces it.
     void listed(store_kind kind, std::variant<store_page, store_error> result)
     {
@@ -41,6 +52,9 @@
         f(std::move(result));
     }
 
+    std::vector<std::string> written;
+    std::vector<std::string> removed;
+    std::function<void(bool)> on_put;
     std::map<store_kind, int> lists;
     std::map<store_kind, duration> waits;
     std::map<store_kind, store_callback<store_page>> on_list;
@@ -137,6 +151,39 @@
     LONGS_EQUAL(2, store.lists[store_kind::manifests]);
 }
 
+// Guards against shares of the fleet that count hosts which have ended, and
+// against their entries staying in the store.
+TEST(forward_control, counts_the_hosts_that_renew_their_entries)
+{
+    settings.name = "h1";
+    start();
+    auto const now = std::chrono::duration_cast<std::chrono::milliseconds>(
+                         std::chrono::system_clock::now().time_since_epoch())
+                         .count();
+    store.listed(
+        store_kind::hosts,
+        store_page{
+            .entries = {{.name = "h1", .value = host_entry{now}},
+                        {.name = "h2", .value = host_entry{now - 100'000}},
+                        {.name = "h3", .value = host_entry{now - 200'000}}},
+            .revision = 10});
+    UNSIGNED_LONGS_EQUAL(2, last->hosts);
+    CHECK(store.removed.back() == "h3");
+}
+
+// Guards against a host that is counted after it has left.
+TEST(forward_control, a_leaving_host_removes_its_entry)
+{
+    start();
+    UNSIGNED_LONGS_EQUAL(1, store.written.size());
+    control.leave();
+    UNSIGNED_LONGS_EQUAL(1, store.removed.size());
+    store.on_put(false);
+    run_until(
+        io, [] { return false; }, std::chrono::seconds(0));
+    UNSIGNED_LONGS_EQUAL(1, store.written.size());
+}
+
 // Guards against waiting out the delay of a failed call after the store has
 // returned.
 TEST(forward_control, calls_again_when_the_store_returns)
--- a/tests/core/forward/gather_test.cpp
+++ b/tests/core/forward/gather_test.cpp
@@ -58,6 +58,22 @@
     UNSIGNED_LONGS_EQUAL(3, merged(run).proofs.size());
 }
 
+// Guards against a log line that does not name the upstream at fault.
+TEST(gather, tells_the_attempts_of_troubled_parts)
+{
+    run_driver run(f, f.gather_route(2, 0.75));
+    for (std::size_t i = 1; i < 4; ++i) {
+        f.exchanges.end(i, good_answer());
+    }
+    f.now += from_ms(5);
+    f.exchanges.end(0, exchange_lost{});
+    f.now += from_ms(2);
+    f.exchanges.end(4, shed_answer());
+    auto const summary = run.run->summary();
+    STRCMP_EQUAL("a0=lost@5 b0=refused@2 ", summary.attempts.c_str());
+    UNSIGNED_LONGS_EQUAL(3, summary.parts_in);
+}
+
 // Guards against an answer below the share that the route demands.
 TEST(gather, waits_on_when_too_few_parts_are_in)
 {
--- a/tests/core/forward/upstream_fleet_test.cpp
+++ b/tests/core/forward/upstream_fleet_test.cpp
@@ -128,6 +128,37 @@
     STRCMP_EQUAL("saturated", choose().c_str());
 }
 
+// Load: many hosts, few connections. Guards against more hosts at an upstream
+// than it takes connections, and against a host with one replica only.
+TEST(upstream_fleet, many_hosts_divide_the_replicas_of_a_service)
+{
+    constexpr int hosts = 90;
+    std::vector<upstream_record> records;
+    for (auto const* const dc : {"a", "b", "c"}) {
+        records.push_back({.instance = dc, .service = "s", .data_centre = dc});
+    }
+    std::map<std::string, int> users;
+    for (int i = 0; i < hosts; ++i) {
+        upstream_fleet fleet({.host = "h" + std::to_string(i),
+                              .data_centre = std::string(1, "abc"[i % 3])},
+                             1);
+        fleet.set_services({{.name = "s", .max_connections = 64}});
+        fleet.update(records, {}, f.now);
+        fleet.set_hosts(hosts);
+        int n = 0;
+        for (auto const& it : fleet.all()) {
+            n += it->chosen ? 1 : 0;
+            users[it->record.instance] += it->chosen ? 1 : 0;
+            CHECK(it->chosen ||
+                  it->record.data_centre != fleet.settings().data_centre);
+        }
+        LONGS_EQUAL(2, n);
+    }
+    for (auto const& [instance, n] : users) {
+        CHECK(n > 45 && n <= 64);
+    }
+}
+
 // Load: cold upstreams collapse under their usual load. Guards against more
 // requests per second to a cold upstream than this host's share.
 TEST(upstream_fleet, paces_a_cold_upstream)
