--- a/src/core/forward/part_fetch.cpp
+++ b/src/core/forward/part_fetch.cpp
@@ -94,14 +94,14 @@
 {
     auto const now = o_.shared->now();
     no_choice why = no_choice::none_known;
-    auto to = choose(now, why);
+    auto const to = choose(now, why);
     if (!to) {
         failure_.fault = why == no_choice::saturated ? fetch_fault::saturated
                                                      : fetch_fault::no_upstream;
         finish(fetch_failure(failure_));
         return;
     }
-    send(std::move(to), now);
+    send(to, now);
     schedule_hedge(now);
 }
 
@@ -111,7 +111,7 @@
         {.service = o_.service, .exclude = &tried_, .now = now}, why);
 }
 
-void part_fetch::send(upstream_ptr to, time_point now)
+void part_fetch::send(upstream_ptr const& to, time_point now)
 {
     auto const n = attempts_.size();
     tried_.push_back(to);
@@ -212,7 +212,7 @@
         return;
     }
     no_choice why = no_choice::none_known;
-    auto to = choose(now, why);
+    auto const to = choose(now, why);
     if (!to) {
         return;
     }
@@ -227,7 +227,7 @@
     else {
         ++o_.shared->retries;
     }
-    send(std::move(to), now);
+    send(to, now);
 }
 
 void part_fetch::on_outcome(std::size_t n, exchange_outcome outcome)
--- a/src/core/forward/part_fetch.hpp
+++ b/src/core/forward/part_fetch.hpp
@@ -161,7 +161,7 @@
     };
 
     upstream_ptr choose(time_point now, no_choice& why);
-    void send(upstream_ptr to, time_point now);
+    void send(upstream_ptr const& to, time_point now);
     void send_again(repeat_budget::use use, time_point now);
     void on_outcome(std::size_t attempt, exchange_outcome outcome);
     void on_answer(attempt const& it, upstream_answer&& answer, time_point now);
--- a/tests/adapters/forward/upstream_links_test.cpp
+++ b/tests/adapters/forward/upstream_links_test.cpp
@@ -39,7 +39,7 @@
     {
         return fleet.all()[0];
     }
-    exchange_id send(std::string id)
+    exchange_id send(std::string const& id)
     {
         auto const now = core_now();
         upstream()->sent(now);
@@ -146,7 +146,7 @@
     send("1");
     CHECK(wait_request("1"));
     server.peers[0]->send("HTTP/1.1 200 OK\r\nx-proof: p\r\n\r\nabc");
-    CHECK(run_until(io, [&] { return server.peers[0]->in.size() > 0; }));
+    CHECK(run_until(io, [&] { return !server.peers[0]->in.empty(); }));
     server.peers[0]->half_close();
     CHECK(wait_outcomes(1));
     STRCMP_EQUAL("abc", body(0).c_str());
--- a/tests/core/forward/forward_fixture.hpp
+++ b/tests/core/forward/forward_fixture.hpp
@@ -135,7 +135,8 @@
 // Runs one request on a route; time passes only by pass().
 struct run_driver
 {
-    run_driver(forward_fixture& f, forward_route r) : fixture(f), route(r)
+    run_driver(forward_fixture& f, forward_route r)
+        : fixture(f), route(std::move(r))
     {
         std::vector<std::string const*> services;
         if (auto const* const it = std::get_if<gather_target>(&route.target)) {
--- a/tests/core/forward/store_mirror_test.cpp
+++ b/tests/core/forward/store_mirror_test.cpp
@@ -9,7 +9,7 @@
     time_point now{from_ms(50'000)};
     store_mirror mirror{{}};
 
-    static store_entry entry(std::string name, bool draining = false)
+    static store_entry entry(std::string const& name, bool draining = false)
     {
         return {.name = name,
                 .value =
@@ -22,9 +22,9 @@
                 .truncated = truncated,
                 .revision = revision};
     }
-    static store_events deleted(std::string name, std::uint64_t revision)
+    static store_events deleted(std::string const& name, std::uint64_t revision)
     {
-        return {.events = {{.entry = entry(std::move(name)), .deleted = true}},
+        return {.events = {{.entry = entry(name), .deleted = true}},
                 .revision = revision};
     }
     std::string names()
--- a/tests/platform/object_store_test.cpp
+++ b/tests/platform/object_store_test.cpp
@@ -76,6 +76,25 @@
     UNSIGNED_LONGS_EQUAL(531, std::get<store_events>(*events).revision);
 }
 
+// Guards against a host that is never counted because its entry does not exist
+// yet.
+TEST(object_store, creates_the_entry_of_a_host)
+{
+    std::optional<bool> written;
+    store.put_host("h1", {.renewed_ms = 17},
+                   [&](bool done) { written = done; });
+    STRCMP_EQUAL("PUT /v1/objects/snipemill-hosts/h1 HTTP/1.1",
+                 request().c_str());
+    server.peers[0]->in.clear();
+    server.peers[0]->send(answer("404 Not Found", "{}"));
+    STRCMP_EQUAL("POST /v1/objects/snipemill-hosts HTTP/1.1",
+                 request().c_str());
+    CHECK(server.peers[0]->has(R"({"meta":{"name":"h1"},"spec":)"));
+    server.peers[0]->send(answer("201 Created", "{}"));
+    CHECK(run_until(io, [&] { return written.has_value(); }));
+    CHECK(*written);
+}
+
 // Guards against a lost history that is taken for an outage: the mirror would
 // watch again from the same place for ever.
 TEST(object_store, tells_a_lost_history_from_an_outage)
