Let no connection that is being set up outlive its links

Cause: LeakSanitizer found the connections whose set-up was open when the links were destroyed; their callback held themselves. The links hold them now and discard them. Found by the sanitizer run of the new tests (test_adapters_forward, 17 tests passed with the leak); the same run is clean after the change.

--- a/src/adapters/forward/upstream_links.cpp
+++ b/src/adapters/forward/upstream_links.cpp
@@ -57,6 +57,10 @@
         for (auto const& idle : it->idle) {
             idle.connection->discard();
         }
+        // A set-up that is open holds its link.
+        for (auto const& open : std::exchange(it->connecting, {})) {
+            open->discard();
+        }
     }
 }
 
@@ -75,7 +79,7 @@
 {
     auto const it = link_of(to);
     if (!to->record.draining && !to->evacuated && !it->timer_set &&
-        it->connecting == 0 && to->in_flight() == 0 && it->idle.empty()) {
+        it->connecting.empty() && to->in_flight() == 0 && it->idle.empty()) {
         connect(it);
     }
 }
@@ -99,7 +103,7 @@
 // A removed link goes when its last exchange has ended.
 void upstream_links::forget(link_ptr const& it)
 {
-    if (it->removed && it->to->in_flight() == 0 && it->connecting == 0) {
+    if (it->removed && it->to->in_flight() == 0 && it->connecting.empty()) {
         links_.erase(it->to.get());
     }
 }
@@ -112,24 +116,25 @@
         on_connect_failed(it);
         return;
     }
-    ++it->connecting;
     ++counters_.connects;
     auto const connection =
         std::make_shared<client_connection>(io_, settings_.max_answer);
     connection->limit_silence(settings_.silence_limit);
-    connection->connect({address, it->to->record.port},
-                        settings_.connect_timeout,
-                        [this, alive = alive_, it, connection](bool ok) {
-                            if (*alive) {
-                                on_connected(it, connection, ok);
-                            }
-                        });
+    it->connecting.push_back(connection);
+    connection->connect(
+        {address, it->to->record.port}, settings_.connect_timeout,
+        [this, alive = alive_, it, weak = std::weak_ptr(connection)](bool ok) {
+            auto const open = weak.lock();
+            if (*alive && open) {
+                on_connected(it, open, ok);
+            }
+        });
 }
 
 void upstream_links::on_connected(link_ptr const& it,
                                   connection_ptr const& connection, bool ok)
 {
-    --it->connecting;
+    std::erase(it->connecting, connection);
     if (!ok) {
         ++counters_.connect_failures;
         on_connect_failed(it);
@@ -200,7 +205,7 @@
 void upstream_links::reconnect(link_ptr const& it)
 {
     auto& state = *it->to;
-    if (it->removed || !it->idle.empty() || it->connecting > 0 ||
+    if (it->removed || !it->idle.empty() || !it->connecting.empty() ||
         state.record.draining || state.evacuated) {
         return;
     }
@@ -263,7 +268,7 @@
         return id;
     }
     it->waiting.push_back(id);
-    if (it->connecting < it->waiting.size()) {
+    if (it->connecting.size() < it->waiting.size()) {
         connect(it);
     }
     return id;
--- a/src/adapters/forward/upstream_links.hpp
+++ b/src/adapters/forward/upstream_links.hpp
@@ -98,7 +98,7 @@
         upstream_ptr to;
         std::vector<idle_connection> idle; // the last one was used last
         std::deque<exchange_id> waiting;
-        std::size_t connecting = 0;
+        std::vector<connection_ptr> connecting; // being set up
         duration reconnect_delay{};
         duration idle_limit{};
         boost::asio::steady_timer timer; // of the next reconnect
