Drop a member that nothing uses

clang++ reports it as an error with the project's warnings; g++ does not. The other forwarding sources compile with clang++ and the same warnings.

--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -63,7 +63,7 @@
 forward_control::forward_control(boost::asio::io_context& io,
                                  forward_settings const& settings,
                                  store_port& store, publish_callback publish)
-    : io_(io), store_(store), publish_(std::move(publish)),
+    : store_(store), publish_(std::move(publish)),
       random_(std::random_device()()), host_(settings.name), expiry_(io),
       renewal_(io)
 {
--- a/src/app/forward/forward_control.hpp
+++ b/src/app/forward/forward_control.hpp
@@ -70,7 +70,6 @@
     std::size_t count_hosts();
     void renew();
 
-    boost::asio::io_context& io_;
     store_port& store_;
     publish_callback publish_;
     rng random_;
