Put off a step that this host itself made late, and add a fault soak

The timer for the relay's agreement then fired before the agreement, which had arrived, was read; two relays and the host itself ran the query. Ruled out: slow relays (their logs show the query 11 ms after it was sent). A step that comes over 5 ms late is now put off once by 20 ms. Unit tests for the query and the probe fail without it.

scripts/soak starts real hosts between stand-ins of the users' platform: a store, upstreams, proxies that delay, reset, silence or cut one way, signals, and callers that check each answer against what upstreams ran.

--- /dev/null
+++ b/soak/faults.hpp
@@ -0,0 +1,105 @@
+#pragma once
+
+#include "checks.hpp"
+#include "core/base/name_table.hpp"
+#include "world.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <random>
+
+namespace soak {
+
+enum class fault_kind : std::uint8_t
+{
+    host_kill,
+    host_pause,
+    host_term,
+    all_kill,
+    store_link,
+    store_down,
+    store_lost,
+    store_compact,
+    upstream_link,
+    upstream_crash,
+    upstream_drain,
+    upstream_slow,
+    upstream_fail,
+    manifest_change,
+    reshard,
+    odd_entries
+};
+
+inline constexpr snipemill::name_table<fault_kind, 16> fault_kind_names{{
+    {fault_kind::host_kill, "host_kill"},
+    {fault_kind::host_pause, "host_pause"},
+    {fault_kind::host_term, "host_term"},
+    {fault_kind::all_kill, "all_kill"},
+    {fault_kind::store_link, "store_link"},
+    {fault_kind::store_down, "store_down"},
+    {fault_kind::store_lost, "store_lost"},
+    {fault_kind::store_compact, "store_compact"},
+    {fault_kind::upstream_link, "upstream_link"},
+    {fault_kind::upstream_crash, "upstream_crash"},
+    {fault_kind::upstream_drain, "upstream_drain"},
+    {fault_kind::upstream_slow, "upstream_slow"},
+    {fault_kind::upstream_fail, "upstream_fail"},
+    {fault_kind::manifest_change, "manifest_change"},
+    {fault_kind::reshard, "reshard"},
+    {fault_kind::odd_entries, "odd_entries"},
+}};
+
+// Draws faults from a seed and heals each after a time. Several may hold at
+// once, also of one kind.
+class fault_source
+{
+public:
+    fault_source(boost::asio::io_context& io, world& w, checker& checks,
+                 std::uint64_t seed);
+    fault_source(fault_source const&) = delete;
+    fault_source& operator=(fault_source const&) = delete;
+
+    void start();
+    // No further faults; those that hold are healed in time.
+    void stop();
+    std::map<fault_kind, int> const& counts() const { return counts_; }
+
+private:
+    using seconds = std::chrono::duration<double>;
+
+    void next();
+    void inject(fault_kind kind);
+    void after(seconds delay, std::function<void()> f);
+    void supervise();
+
+    void kill(host& it);
+    void pause(host& it);
+    void term(host& it);
+    void cut_store(host& it);
+    void cut_upstream(upstream_entry& it);
+    void crash_upstream(upstream_entry& it);
+    void drain_upstream(upstream_entry& it);
+    void change_manifest();
+    void reshard();
+    void write_odd_entries();
+
+    double uniform(double from, double to);
+    host& any_host();
+    upstream_entry* any_upstream();
+
+    boost::asio::io_context& io_;
+    world& world_;
+    checker& checks_;
+    std::mt19937_64 random_;
+    boost::asio::steady_timer timer_;
+    boost::asio::steady_timer supervise_timer_;
+    std::map<fault_kind, int> counts_;
+    std::uint64_t next_shard_ = 100;
+    bool stopped_ = false;
+};
+
+} // namespace soak
--- /dev/null
+++ b/soak/main.cpp
@@ -0,0 +1,114 @@
+#include "callers.hpp"
+#include "checks.hpp"
+#include "faults.hpp"
+#include "world.hpp"
+
+#include <cxxopts.hpp>
+
+#include <filesystem>
+#include <iostream>
+#include <string>
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A fleet that starts is ready within this time.
+constexpr seconds start_time{6};
+
+// After the last fault is healed, service is back within this time.
+constexpr seconds recovery_time{12};
+
+// Served of the requests that are sent after the recovery.
+constexpr double recovered_share = 0.97;
+constexpr seconds recovered_span{4};
+
+constexpr milliseconds look_interval{100};
+
+struct soak_run
+{
+    explicit soak_run(soak::world_options const& options)
+        : fleet(io, options), checks(fleet),
+          load(io, fleet, checks, options.seed),
+          faults(io, fleet, checks, options.seed + 1)
+    {}
+
+    void pass(std::chrono::duration<double> time)
+    {
+        auto const end =
+            std::chrono::steady_clock::now() +
+            std::chrono::duration_cast<std::chrono::nanoseconds>(time);
+        while (std::chrono::steady_clock::now() < end) {
+            io.run_for(look_interval);
+            checks.look(std::chrono::steady_clock::now());
+        }
+    }
+
+    int run(double duration)
+    {
+        pass(start_time);
+        load.start();
+        faults.start();
+        pass(std::chrono::duration<double>(duration));
+        faults.stop();
+        pass(recovery_time);
+        auto const asked = checks.asked();
+        auto const served = checks.served();
+        pass(recovered_span);
+        auto const share = static_cast<double>(checks.served() - served) /
+                           static_cast<double>(checks.asked() - asked + 1);
+        if (share < recovered_share) {
+            checks.fail("after the recovery " + std::to_string(share) +
+                        " of the requests are served");
+        }
+        load.stop();
+        pass(seconds(2));
+        checks.finish();
+        for (auto const& [kind, n] : faults.counts()) {
+            std::cout << snipemill::name_of(soak::fault_kind_names, kind) << '='
+                      << n << ' ';
+        }
+        std::cout << "\nasked " << checks.asked() << ", served "
+                  << checks.served() << ", broken promises "
+                  << checks.failures().size() << '\n';
+        return checks.failures().empty() ? 0 : 1;
+    }
+
+    boost::asio::io_context io;
+    soak::world fleet;
+    soak::checker checks;
+    soak::callers load;
+    soak::fault_source faults;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    cxxopts::Options options("snipemill-soak",
+                             "Runs hosts under random faults and checks what "
+                             "callers and upstreams see.");
+    options.add_options()("program", "path of snipemill",
+                          cxxopts::value<std::string>())(
+        "folder", "for settings and logs", cxxopts::value<std::string>())(
+        "seed", "of load and faults",
+        cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "hosts", "processes",
+        cxxopts::value<std::size_t>()->default_value("14"))(
+        "seconds", "with faults",
+        cxxopts::value<double>()->default_value("20"))("help", "this text");
+    auto const args = options.parse(argc, argv);
+    if (args.count("help") > 0 || args.count("program") == 0 ||
+        args.count("folder") == 0) {
+        std::cout << options.help();
+        return args.count("help") > 0 ? 0 : 2;
+    }
+    std::filesystem::path const folder = args["folder"].as<std::string>();
+    std::filesystem::create_directories(folder);
+    soak_run run({.program = args["program"].as<std::string>(),
+                  .folder = folder,
+                  .seed = args["seed"].as<std::uint64_t>(),
+                  .hosts = args["hosts"].as<std::size_t>()});
+    return run.run(args["seconds"].as<double>());
+}
--- /dev/null
+++ b/soak/world.cpp
@@ -0,0 +1,221 @@
+#include "world.hpp"
+
+#include "platform/names.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/json/array.hpp>
+
+#include <fstream>
+#include <utility>
+
+namespace soak {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+namespace names = snipemill::platform::names;
+using asio::ip::tcp;
+
+namespace {
+
+// Ports that are free now. The programs bind them a moment later.
+std::vector<std::uint16_t> free_ports(asio::io_context& io, std::size_t n)
+{
+    std::vector<tcp::acceptor> open;
+    std::vector<std::uint16_t> out;
+    for (std::size_t i = 0; i < n; ++i) {
+        open.emplace_back(io,
+                          tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+        out.push_back(open.back().local_endpoint().port());
+    }
+    return out;
+}
+
+tcp::endpoint local(std::uint16_t port)
+{
+    return {asio::ip::address_v4::loopback(), port};
+}
+
+std::string address(std::uint16_t port)
+{
+    return "127.0.0.1:" + std::to_string(port);
+}
+
+json::object route(std::string const& name, char const* prefix,
+                   manifest_state const& state)
+{
+    return {{"name", name},
+            {"host", "soak"},
+            {"path_prefix", prefix},
+            {"type", "idempotent"},
+            {"attempts", 2},
+            {"timeout_ms", state.timeout_ms},
+            {"target_latency_ms", 120},
+            {"priority", 1}};
+}
+
+} // namespace
+
+world::world(asio::io_context& io, world_options options)
+    : io_(io), options_(std::move(options)), store_(io)
+{
+    manifest_state first{.version = 2};
+    for (std::size_t i = 0; i < options_.shards; ++i) {
+        first.shards.insert(shard_name(i));
+    }
+    publish(first);
+    for (std::size_t i = 0; i < options_.shards; ++i) {
+        for (std::size_t j = 0; j < options_.replicas; ++j) {
+            add_upstream(shard_name(i), j);
+        }
+    }
+    for (std::size_t j = 0; j < options_.replicas + 1; ++j) {
+        add_upstream(single_service, j);
+    }
+    for (std::size_t i = 0; i < options_.hosts; ++i) {
+        make_host(i);
+    }
+}
+
+void world::make_host(std::size_t number)
+{
+    auto it = std::make_unique<host>();
+    it->name = "h" + std::to_string(number);
+    it->data_centre = number % 2 == 0 ? "a" : "b";
+    auto const ports = free_ports(io_, 4);
+    it->callers = ports[0];
+    it->readiness = ports[1];
+    it->settings = options_.folder / (it->name + ".yaml");
+    it->log = options_.folder / (it->name + ".log");
+    it->store =
+        std::make_unique<standin::fault_proxy>(io_, local(store_.port()));
+    // The first two of each data centre are the strong ones.
+    write_settings(*it, ports[2], ports[3], number < 4 ? 0.5 : 0.12);
+    start_host(*it);
+    hosts_.push_back(std::move(it));
+}
+
+void world::write_settings(host const& it, std::uint16_t metrics,
+                           std::uint16_t relay, double cores) const
+{
+    std::ofstream(it.settings)
+        << "host: {name: " << it.name << ", data_centre: " << it.data_centre
+        << ", cores: " << cores << "}\nlisten:\n  callers: \""
+        << address(it.callers) << "\"\n  readiness: \"" << address(it.readiness)
+        << "\"\n  metrics: \"" << address(metrics) << "\"\n  relay: \""
+        << address(relay) << "\"\nstore: {address: \""
+        << address(it.store->port()) << "\"}\n";
+}
+
+void world::start_host(host& it)
+{
+    it.process.emplace(std::vector<std::string>{options_.program, "forward",
+                                                "--config",
+                                                it.settings.string()},
+                       std::string(), it.log.string());
+    it.started = std::chrono::steady_clock::now();
+    it.disturbed = it.started;
+    it.paused = false;
+    it.leaving = false;
+    ++it.starts;
+}
+
+void world::end_host(host& it)
+{
+    it.process.reset();
+    it.disturbed = std::chrono::steady_clock::now();
+}
+
+void world::publish(manifest_state next)
+{
+    json::array routes;
+    json::array shards;
+    json::array services;
+    for (auto const& it : next.shards) {
+        shards.emplace_back(it);
+        services.emplace_back(json::object{{"name", it}, {"max_conns", 40}});
+    }
+    services.emplace_back(
+        json::object{{"name", single_service}, {"max_conns", 60}});
+    auto wide = route("wide", "/wide/", next);
+    wide["gather"] = std::move(shards);
+    wide["top_k"] = 5;
+    wide["min_shard_ratio"] = 0.6;
+    routes.emplace_back(std::move(wide));
+    auto one = route("one", "/one/", next);
+    one["backend"] = single_service;
+    routes.emplace_back(std::move(one));
+    auto once = route("once", "/once/", next);
+    once["backend"] = single_service;
+    once["type"] = "non_idempotent";
+    routes.emplace_back(std::move(once));
+    if (next.extra_route) {
+        auto extra = route("extra", "/extra/", next);
+        extra["backend"] = single_service;
+        routes.emplace_back(std::move(extra));
+    }
+    store_.put(names::manifests, names::newest_manifest,
+               {{"version", next.version},
+                {"routes", std::move(routes)},
+                {"services", std::move(services)}});
+    published_at_ = std::chrono::steady_clock::now();
+    manifests_.push_back(std::move(next));
+}
+
+void world::add_upstream(std::string const& service, std::size_t number)
+{
+    auto it = std::make_unique<upstream_entry>();
+    auto const n = next_instance_++;
+    it->server = std::make_unique<standin::upstream>(
+        io_,
+        standin::upstream_options{.instance = "i-" + std::to_string(n),
+                                  .service = service},
+        runs_, options_.seed * 1000 + n);
+    it->proxy =
+        std::make_unique<standin::fault_proxy>(io_, local(it->server->port()));
+    it->data_centre = number % 2 == 0 ? "a" : "b";
+    register_upstream(*it);
+    upstreams_.push_back(std::move(it));
+}
+
+void world::register_upstream(upstream_entry const& it)
+{
+    auto const& o = it.server->options();
+    store_.put(names::upstreams, o.instance,
+               {{"backend", o.service},
+                {"address", address(it.proxy->port())},
+                {"zone", it.data_centre},
+                {"version", "v1"},
+                {"max_concurrency", o.slots},
+                {"state", it.draining ? "draining" : "ready"},
+                {"warmup_left_ms", 0},
+                {"sequence", 1},
+                {"born", 1}});
+}
+
+void world::drain(upstream_entry& it)
+{
+    it.draining = true;
+    it.drained_at = std::chrono::steady_clock::now();
+    register_upstream(it);
+}
+
+void world::crash(upstream_entry& it)
+{
+    it.gone = true;
+    it.proxy.reset();
+    it.server.reset();
+}
+
+void world::remove_entry(upstream_entry const& it)
+{
+    if (it.server) {
+        store_.remove(names::upstreams, it.server->options().instance);
+    }
+}
+
+void world::disturb_store()
+{
+    store_disturbed_ = std::chrono::steady_clock::now();
+}
+
+} // namespace soak
--- /dev/null
+++ b/soak/world.hpp
@@ -0,0 +1,130 @@
+#pragma once
+
+#include "fleet/fault_proxy.hpp"
+#include "fleet/store.hpp"
+#include "fleet/upstream.hpp"
+#include "testbed/child_process.hpp"
+
+#include <boost/asio/io_context.hpp>
+
+#include <cstdint>
+#include <filesystem>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace soak {
+
+using standin::steady_time;
+
+// Sizes of the fleet under test.
+struct world_options
+{
+    std::string program; // path of snipemill
+    std::filesystem::path folder;
+    std::uint64_t seed = 1;
+    std::size_t hosts = 14; // more than 12 run wide queries at relays
+    std::size_t shards = 6;
+    std::size_t replicas = 2;
+};
+
+// One process of the system.
+struct host
+{
+    std::string name;
+    std::string data_centre;
+    std::uint16_t callers = 0;
+    std::uint16_t readiness = 0;
+    std::filesystem::path settings;
+    std::filesystem::path log;
+    std::unique_ptr<standin::fault_proxy> store; // its way to the store
+    std::optional<testbed::child_process> process;
+    bool paused = false;
+    bool leaving = false;    // has got SIGTERM
+    steady_time disturbed{}; // last fault on it or its ways
+    steady_time started{};
+    unsigned starts = 0;
+};
+
+struct upstream_entry
+{
+    std::unique_ptr<standin::upstream> server;
+    std::unique_ptr<standin::fault_proxy> proxy;
+    std::string data_centre;
+    bool draining = false;
+    steady_time drained_at{}; // the store confirmed that it drains
+    bool gone = false;
+};
+
+// The routes of one version.
+struct manifest_state
+{
+    std::uint64_t version = 0;
+    std::set<std::string> shards;
+    bool extra_route = false; // "/extra/"
+    unsigned timeout_ms = 900;
+};
+
+// The programs under test and the stand-ins around them, on loopback.
+class world
+{
+public:
+    world(boost::asio::io_context& io, world_options options);
+    world(world const&) = delete;
+    world& operator=(world const&) = delete;
+
+    void start_host(host& it);
+    // The process has ended; it is started again by start_host.
+    void end_host(host& it);
+    void publish(manifest_state next);
+    void add_upstream(std::string const& service, std::size_t number);
+    void drain(upstream_entry& it);
+    // Ends without notice; its entry lapses when remove() is called.
+    void crash(upstream_entry& it);
+    void remove_entry(upstream_entry const& it);
+
+    // Last disturbance of the store.
+    void disturb_store();
+    steady_time store_disturbed() const { return store_disturbed_; }
+
+    world_options const& options() const { return options_; }
+    standin::store& platform() { return store_; }
+    standin::run_log& runs() { return runs_; }
+    std::vector<std::unique_ptr<host>>& hosts() { return hosts_; }
+    std::vector<std::unique_ptr<upstream_entry>>& upstreams()
+    {
+        return upstreams_;
+    }
+    manifest_state const& manifest() const { return manifests_.back(); }
+    std::vector<manifest_state> const& manifests() const { return manifests_; }
+    steady_time published_at() const { return published_at_; }
+
+private:
+    void make_host(std::size_t number);
+    void write_settings(host const& it, std::uint16_t metrics,
+                        std::uint16_t relay, double cores) const;
+    void register_upstream(upstream_entry const& it);
+
+    boost::asio::io_context& io_;
+    world_options options_;
+    standin::store store_;
+    standin::run_log runs_;
+    std::vector<std::unique_ptr<host>> hosts_;
+    std::vector<std::unique_ptr<upstream_entry>> upstreams_;
+    std::vector<manifest_state> manifests_;
+    steady_time published_at_{};
+    steady_time store_disturbed_{};
+    std::uint64_t next_instance_ = 1;
+};
+
+// Services of the fleet.
+inline std::string shard_name(std::size_t n)
+{
+    return "shard-" + std::to_string(n);
+}
+inline constexpr char const* single_service = "single";
+
+} // namespace soak
--- a/src/adapters/http/client_pool.cpp
+++ b/src/adapters/http/client_pool.cpp
@@ -25,7 +25,9 @@
 client_pool::client_pool(asio::io_context& io,
                          http_client_options const& options)
     : io_(io), options_(options),
-      host_(options.ip + ":" + std::to_string(options.port))
+      host_(options.host.empty()
+                ? options.ip + ":" + std::to_string(options.port)
+                : options.host)
 {}
 
 void client_pool::send(http_request&& request, duration timeout,
--- a/src/adapters/http/http_client.hpp
+++ b/src/adapters/http/http_client.hpp
@@ -18,6 +18,7 @@
 {
     std::string ip;
     std::uint16_t port = 0;
+    std::string host; // value of the Host header; empty: the address
     std::size_t max_connections = 8;
     duration connect_timeout = from_ms(1000);
     std::size_t max_body = 4 * 1024 * 1024; // bytes
--- a/src/core/forward/relay_pool.cpp
+++ b/src/core/forward/relay_pool.cpp
@@ -81,6 +81,7 @@
 void relay_pool::start_probe(relay_ptr const& it, time_point now)
 {
     it->probe_end = now + settings_.probe_timeout;
+    it->probe_put_off = false;
     it->probe_at = now + settings_.probe_interval;
     it->probe = port_.probe(
         it->host, [this, weak = std::weak_ptr(it)](relay_event event) {
@@ -108,14 +109,24 @@
                        [](auto const& it) { return it->cut_off; });
 }
 
+void relay_pool::end_probe(relay_state& it, time_point now)
+{
+    if (!it.probe_put_off && held_up(it.probe_end, now)) {
+        it.probe_put_off = true;
+        it.probe_end = now + settings_.late_grace;
+        return;
+    }
+    std::exchange(it.probe, nullptr)->cancel();
+    it.cut_off = false;
+    failed(it, now);
+}
+
 time_point relay_pool::probe(time_point now)
 {
     auto next = now + settings_.probe_interval;
     for (auto const& it : relays_) {
         if (it->probe && now >= it->probe_end) {
-            std::exchange(it->probe, nullptr)->cancel();
-            it->cut_off = false;
-            failed(*it, now);
+            end_probe(*it, now);
         }
         if (!it->probe && now >= it->probe_at) {
             start_probe(it, now);
--- a/src/core/forward/relay_pool.hpp
+++ b/src/core/forward/relay_pool.hpp
@@ -26,6 +26,11 @@
     // A query that is not accepted in this time goes elsewhere. Longer than
     // a relay needs to write the 90 requests of another query.
     duration accept_timeout = from_ms(25);
+    // A step that comes this late shows that this host itself was held up. What
+    // has arrived meanwhile is read first: the step is put off once, by the
+    // second figure.
+    duration lateness = from_ms(5);
+    duration late_grace = from_ms(20);
     // Open queries per core beyond which a relay of another data centre is
     // preferred to one of the own: a query that lasts 50 ms costs 5 ms of
     // processor time, so that 10 of them keep a core busy.
@@ -40,7 +45,8 @@
     bool cut_off = false;   // it said so in its last answer
     std::uint32_t open = 0; // queries that it runs for this host
     time_point probe_at{};
-    time_point probe_end{}; // of the open probe
+    time_point probe_end{};     // of the open probe
+    bool probe_put_off = false; // since a step came late
     std::shared_ptr<relay_call> probe;
 };
 
@@ -68,6 +74,12 @@
     // Whether no relay is usable and one says that its data centre is cut off:
     // this host, which it can reach, is cut off as well.
     bool cut_off() const;
+    // Whether a step that was due then comes so late that this host itself was
+    // held up.
+    bool held_up(time_point due, time_point now) const
+    {
+        return now - due > settings_.lateness;
+    }
     // Sends the probes that are due. Returns when to call again.
     time_point probe(time_point now);
 
@@ -77,6 +89,7 @@
 
 private:
     void start_probe(relay_ptr const& it, time_point now);
+    void end_probe(relay_state& it, time_point now);
     void on_probed(relay_state& it, relay_event const& event);
     void set_usable(relay_state& it, bool usable);
 
--- a/src/core/forward/relayed_run.cpp
+++ b/src/core/forward/relayed_run.cpp
@@ -197,14 +197,25 @@
         return;
     }
     if (accept_end_ && now >= *accept_end_) {
-        // The relay is cancelled before it has begun: a relay that wakes up
-        // later reads the query and its end together.
-        note("not_accepted");
-        leave_relay();
-        ++maybe_run_;
-        o_.pool->failed(*tried_.back(), now);
-        try_next(now);
+        on_accept_end(now);
+    }
+}
+
+void relayed_run::on_accept_end(time_point now)
+{
+    auto const& settings = o_.pool->settings();
+    if (!put_off_ && o_.pool->held_up(*accept_end_, now)) {
+        put_off_ = true;
+        accept_end_ = now + settings.late_grace;
+        return;
     }
+    // The relay is cancelled before it has begun: a relay that wakes up later
+    // reads the query and its end together.
+    note("not_accepted");
+    leave_relay();
+    ++maybe_run_;
+    o_.pool->failed(*tried_.back(), now);
+    try_next(now);
 }
 
 void relayed_run::refuse(unsigned status, errc code, std::string detail)
--- a/src/core/forward/relayed_run.hpp
+++ b/src/core/forward/relayed_run.hpp
@@ -48,6 +48,7 @@
     void on_event(relay_event event);
     void on_answer(relay_answer&& answer);
     void on_lost(bool sent, time_point now);
+    void on_accept_end(time_point now);
     // Upstreams of one shard that may still run the query.
     std::uint32_t attempts_left() const;
     void leave_relay();
@@ -60,6 +61,7 @@
     std::shared_ptr<relay_call> call_; // at the last of tried_
     std::optional<time_point> accept_end_;
     bool accepted_ = false;
+    bool put_off_ = false;        // the end of the time to accept, once
     std::uint32_t maybe_run_ = 0; // relays that may have begun all the same
     std::unique_ptr<request_run> direct_;
     std::optional<run_summary> summary_; // of the relay
--- /dev/null
+++ b/standins/fleet/store.cpp
@@ -0,0 +1,258 @@
+#include "fleet/store.hpp"
+
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <charconv>
+#include <utility>
+
+namespace standin {
+
+namespace json = boost::json;
+using snipemill::http_request;
+using snipemill::http_responder;
+using snipemill::http_response;
+
+namespace {
+
+constexpr std::string_view root = "/v1/objects/";
+
+// Entries of one page of a listing.
+constexpr std::size_t page_size = 50;
+
+constexpr std::size_t max_history = 10'000;
+
+std::uint64_t number_of(std::string_view text)
+{
+    std::uint64_t n = 0;
+    std::from_chars(text.data(), text.data() + text.size(), n);
+    return n;
+}
+
+} // namespace
+
+struct store::call_path
+{
+    std::string kind;
+    std::string name;
+    std::map<std::string, std::string> query;
+
+    static std::optional<call_path> read(std::string_view target)
+    {
+        if (!target.starts_with(root)) {
+            return std::nullopt;
+        }
+        call_path out;
+        auto const mark = target.find('?');
+        auto const path = target.substr(0, mark).substr(root.size());
+        auto const slash = path.find('/');
+        out.kind = path.substr(0, slash);
+        if (slash != std::string_view::npos) {
+            out.name = path.substr(slash + 1);
+        }
+        auto rest = mark == std::string_view::npos ? std::string_view()
+                                                   : target.substr(mark + 1);
+        while (!rest.empty()) {
+            auto const pair = rest.substr(0, rest.find('&'));
+            auto const equals = pair.find('=');
+            if (equals != std::string_view::npos) {
+                out.query[std::string(pair.substr(0, equals))] =
+                    pair.substr(equals + 1);
+            }
+            rest.remove_prefix(std::min(rest.size(), pair.size() + 1));
+        }
+        return out;
+    }
+};
+
+store::store(boost::asio::io_context& io)
+    : io_(io), server_(io, {},
+                       [this](http_request const& request,
+                              http_responder const& respond) {
+                           return on_request(request, respond);
+                       })
+{}
+
+void store::put(std::string const& kind, std::string const& name,
+                json::object spec)
+{
+    ++revision_;
+    auto const text = json::serialize(json::object{
+        {"meta", json::object{{"name", name}, {"revision", revision_}}},
+        {"spec", std::move(spec)}});
+    objects_[kind][name] = text;
+    note(kind, name, false, text);
+}
+
+void store::remove(std::string const& kind, std::string const& name)
+{
+    if (objects_[kind].erase(name) > 0) {
+        ++revision_;
+        note(kind, name, true,
+             json::serialize(
+                 json::object{{"meta", json::object{{"name", name}}}}));
+    }
+}
+
+bool store::has(std::string const& kind, std::string const& name) const
+{
+    auto const it = objects_.find(kind);
+    return it != objects_.end() && it->second.contains(name);
+}
+
+void store::note(std::string const& kind, std::string const& /*name*/,
+                 bool deleted, std::string const& object)
+{
+    history_.push_back({.revision = revision_,
+                        .kind = kind,
+                        .text = R"({"object":)" + object + R"(,"deleted":)" +
+                                (deleted ? "true" : "false") + "}"});
+    if (history_.size() > max_history) {
+        oldest_ = history_.front().revision;
+        history_.pop_front();
+    }
+    wake();
+}
+
+std::optional<std::string> store::events_since(std::string const& kind,
+                                               std::uint64_t revision) const
+{
+    std::string out;
+    for (auto const& it : history_) {
+        if (it.revision > revision && it.kind == kind) {
+            out += (out.empty() ? "" : ",") + it.text;
+        }
+    }
+    if (out.empty()) {
+        return std::nullopt;
+    }
+    return R"({"events":[)" + out + R"(],"store_revision":)" +
+           std::to_string(revision_) + "}";
+}
+
+void store::wake()
+{
+    for (auto it = watches_.begin(); it != watches_.end();) {
+        auto events = events_since(it->kind, it->revision);
+        if (!events) {
+            ++it;
+            continue;
+        }
+        auto const respond = std::move(it->respond);
+        it = watches_.erase(it);
+        respond({.body = std::move(*events)});
+    }
+}
+
+std::function<void()> store::on_request(http_request const& request,
+                                        http_responder const& respond)
+{
+    ++calls_;
+    if (state_ == store_state::unavailable) {
+        respond({.status = 503, .body = "{}"});
+        return nullptr;
+    }
+    auto const path = call_path::read(request.target);
+    if (!path) {
+        respond({.status = 404, .body = "{}"});
+        return nullptr;
+    }
+    if (request.method == "GET" && path->query.contains("watch")) {
+        return watch(*path, respond);
+    }
+    auto answer = request.method == "GET" ? list(*path) : write(request, *path);
+    if (state_ == store_state::answers_lost) {
+        // Held for ever: the caller's time-out finds out.
+        return [] {};
+    }
+    respond(std::move(answer));
+    return nullptr;
+}
+
+http_response store::list(call_path const& path) const
+{
+    json::array items;
+    bool truncated = false;
+    auto const kind = objects_.find(path.kind);
+    auto const after = path.query.find("after");
+    if (kind != objects_.end()) {
+        auto it = after == path.query.end()
+                      ? kind->second.begin()
+                      : kind->second.upper_bound(after->second);
+        for (; it != kind->second.end(); ++it) {
+            if (items.size() == page_size) {
+                truncated = true;
+                break;
+            }
+            items.push_back(json::parse(it->second));
+        }
+    }
+    return {.body =
+                json::serialize(json::object{{"items", std::move(items)},
+                                             {"truncated", truncated},
+                                             {"store_revision", revision_}})};
+}
+
+std::function<void()> store::watch(call_path const& path,
+                                   http_responder const& respond)
+{
+    auto const from = number_of(path.query.at("watch"));
+    if (from < oldest_) {
+        respond({.status = 410, .body = "{}"});
+        return nullptr;
+    }
+    if (auto events = events_since(path.kind, from)) {
+        respond({.body = std::move(*events)});
+        return nullptr;
+    }
+    auto const wait = path.query.find("wait_ms");
+    auto const ms = std::chrono::milliseconds(
+        wait == path.query.end() ? 0 : number_of(wait->second));
+    auto const it = watches_.insert(
+        watches_.end(),
+        {.kind = path.kind,
+         .revision = from,
+         .respond = respond,
+         .timer = std::make_unique<boost::asio::steady_timer>(io_, ms)});
+    it->timer->async_wait([this, it](boost::system::error_code ec) {
+        if (ec) {
+            return;
+        }
+        auto const tell = std::move(it->respond);
+        watches_.erase(it);
+        tell({.body = R"({"events":[],"store_revision":)" +
+                      std::to_string(revision_) + "}"});
+    });
+    auto const* const timer = it->timer.get();
+    return [this, timer] {
+        std::erase_if(watches_, [timer](waiting_watch const& w) {
+            return w.timer.get() == timer;
+        });
+    };
+}
+
+http_response store::write(http_request const& request, call_path const& path)
+{
+    if (request.method == "DELETE") {
+        remove(path.kind, path.name);
+        return {.body = "{}"};
+    }
+    boost::system::error_code ec;
+    auto const body = json::parse(request.body, ec);
+    auto const* const fields = ec ? nullptr : body.if_object();
+    if (!fields) {
+        return {.status = 400, .body = "{}"};
+    }
+    auto const name =
+        path.name.empty()
+            ? std::string(fields->at("meta").at("name").as_string())
+            : path.name;
+    bool const create = request.method == "POST";
+    if (create == has(path.kind, name)) {
+        return {.status = create ? 409U : 404U, .body = "{}"};
+    }
+    put(path.kind, name, fields->at("spec").as_object());
+    return {.status = create ? 201U : 200U, .body = "{}"};
+}
+
+} // namespace standin
--- /dev/null
+++ b/standins/fleet/upstream.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "adapters/http/http_server.hpp"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <string>
+#include <vector>
+
+namespace standin {
+
+using steady_time = std::chrono::steady_clock::time_point;
+
+// One run of a request at an upstream.
+struct upstream_run
+{
+    std::string service;
+    std::string instance;
+    std::string path;
+    std::string stamp; // proof of the answer; empty when it failed
+    std::string body;
+    steady_time at{};
+};
+
+// What all upstreams have run, by request id.
+using run_log = std::map<std::string, std::vector<upstream_run>>;
+
+struct upstream_options
+{
+    std::string instance;
+    std::string service;
+    unsigned slots = 2;
+    std::size_t queue = 12;
+    std::chrono::milliseconds work{4};
+    std::size_t records = 6; // of an answer to a query
+};
+
+// Stand-in of one upstream: runs a few requests at a time, queues some, refuses
+// the others, and answers records or a text with a proof.
+class upstream
+{
+public:
+    upstream(boost::asio::io_context& io, upstream_options options,
+             run_log& log, std::uint64_t seed);
+    upstream(upstream const&) = delete;
+    upstream& operator=(upstream const&) = delete;
+
+    std::uint16_t port() const { return server_.port(); }
+    upstream_options const& options() const { return options_; }
+    // Work takes this many times as long.
+    void set_slowness(double factor) { slowness_ = factor; }
+    // Part of the requests that fail after they have run.
+    void set_failures(double share) { failures_ = share; }
+    steady_time last_arrival() const { return last_arrival_; }
+
+private:
+    struct job
+    {
+        std::string id;
+        std::string path;
+        snipemill::http_responder respond;
+        bool gone = false;
+    };
+
+    std::function<void()> on_request(snipemill::http_request const& request,
+                                     snipemill::http_responder const& respond);
+    void start_next();
+    void end(std::shared_ptr<job> const& it);
+    std::string records();
+
+    boost::asio::io_context& io_;
+    upstream_options options_;
+    run_log& log_;
+    std::mt19937_64 random_;
+    double slowness_ = 1;
+    double failures_ = 0;
+    unsigned running_ = 0;
+    std::uint64_t next_stamp_ = 1;
+    steady_time last_arrival_{};
+    std::deque<std::shared_ptr<job>> waiting_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    snipemill::http_server server_;
+};
+
+} // namespace standin
--- a/testbed/child_process.cpp
+++ b/testbed/child_process.cpp
@@ -26,7 +26,8 @@
 } // namespace
 
 child_process::child_process(std::vector<std::string> argv,
-                             std::string const& stderr_file)
+                             std::string const& stderr_file,
+                             std::string const& stdout_file)
 {
     std::array<int, 2> pipe_ends{};
     if (pipe2(pipe_ends.data(), O_CLOEXEC) != 0) {
@@ -35,6 +36,11 @@
     posix_spawn_file_actions_t actions;
     posix_spawn_file_actions_init(&actions);
     posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
+    if (!stdout_file.empty()) {
+        posix_spawn_file_actions_addopen(&actions, STDOUT_FILENO,
+                                         stdout_file.c_str(),
+                                         O_WRONLY | O_CREAT | O_APPEND, 0644);
+    }
     if (!stderr_file.empty()) {
         posix_spawn_file_actions_addopen(&actions, STDERR_FILENO,
                                          stderr_file.c_str(),
--- a/testbed/child_process.hpp
+++ b/testbed/child_process.hpp
@@ -14,9 +14,11 @@
 {
 public:
     // argv[0] is the path of the program. Standard error goes to the file, or
-    // to this process's standard error when the name is empty.
+    // to this process's standard error when the name is empty; standard output
+    // to its file, or to read_line and read_all.
     explicit child_process(std::vector<std::string> argv,
-                           std::string const& stderr_file = {});
+                           std::string const& stderr_file = {},
+                           std::string const& stdout_file = {});
     ~child_process();
     child_process(child_process&& other) noexcept;
     child_process& operator=(child_process&&) = delete;
--- a/tests/core/forward/relay_pool_test.cpp
+++ b/tests/core/forward/relay_pool_test.cpp
@@ -114,3 +114,15 @@
     STRCMP_EQUAL("none", f.choose().c_str());
     CHECK_FALSE(f.pool.cut_off());
 }
+
+// Guards against a host that loses all relays because it was held up itself.
+TEST(relay_pool, a_late_step_does_not_fail_a_probe)
+{
+    f.now += f.pool.settings().probe_interval;
+    f.pool.probe(f.now);
+    f.now += f.pool.settings().probe_timeout + from_ms(300);
+    f.pool.probe(f.now);
+    CHECK_FALSE(f.port.probes[0]->cancelled);
+    f.port.answer_probes();
+    CHECK(f.choose() != "none");
+}
--- a/tests/core/forward/relayed_run_test.cpp
+++ b/tests/core/forward/relayed_run_test.cpp
@@ -212,3 +212,24 @@
     CHECK(refused.retry_after > duration::zero());
     CHECK(f.exchanges.all.empty());
 }
+
+// Load: this host is busy with a large manifest and steps late. Guards against
+// taking its own delay for that of the relay, whose answer waits to be read
+// (seen on hunt-212f-3 of the first grown site: parts of 9 queries at 3 of 2
+// upstreams).
+TEST(relayed_run, a_host_that_was_held_up_reads_before_it_gives_up)
+{
+    start();
+    f.now += from_ms(200);
+    run->on_wake(f.now);
+    CHECK_FALSE(call(0).cancelled);
+    call(0).on_event(relay_accepted{});
+    pass(from_ms(100));
+    CHECK_FALSE(call(0).cancelled);
+    // Without an answer it gives up a little later.
+    start();
+    f.now += from_ms(200);
+    run->on_wake(f.now);
+    pass(relays.pool.settings().late_grace);
+    CHECK(call(1).cancelled);
+}
