Wait for a relay's agreement longer than a manifest fills the link

A relay that is silent for 25 ms now gets no further queries, but the query itself waits for 110 ms; and no third run begins when two relays may have run the query.

--- a/src/adapters/forward/relay_link.cpp
+++ b/src/adapters/forward/relay_link.cpp
@@ -104,7 +104,7 @@
 relay_link::open(fleet_host const& to, char const* path, std::string message,
                  std::function<void(relay_event)> f)
 {
-    auto const out = std::make_shared<call>(std::move(f));
+    auto out = std::make_shared<call>(std::move(f));
     peer_address const address{
         .id = host_id(to.name), .ip = to.ip, .port = to.relay_port};
     auto& open_calls = calls_[address.id];
--- a/src/core/forward/relay_pool.cpp
+++ b/src/core/forward/relay_pool.cpp
@@ -84,7 +84,7 @@
     it->probe_put_off = false;
     it->probe_at = now + settings_.probe_interval;
     it->probe = port_.probe(
-        it->host, [this, weak = std::weak_ptr(it)](relay_event event) {
+        it->host, [this, weak = std::weak_ptr(it)](relay_event const& event) {
             if (auto const relay = weak.lock()) {
                 relay->probe = nullptr;
                 on_probed(*relay, event);
--- a/src/core/forward/relay_pool.hpp
+++ b/src/core/forward/relay_pool.hpp
@@ -23,9 +23,13 @@
     // A probe that takes longer counts as failed: a way there and back takes
     // up to 3 ms, a new connection the same, and a busy relay some tens.
     duration probe_timeout = from_ms(200);
-    // A query that is not accepted in this time goes elsewhere. Longer than
-    // a relay needs to write the 90 requests of another query.
-    duration accept_timeout = from_ms(25);
+    // A relay that does not accept a query in the first time gets no further
+    // ones; it is longer than a relay needs to write the 90 requests of another
+    // query. The query itself goes elsewhere after the second time: the
+    // agreement may wait behind a manifest of 256 KB on this host's link, 84 ms
+    // at 25 Mbit/s, and the parts would run at more upstreams than allowed.
+    duration suspect_timeout = from_ms(25);
+    duration accept_timeout = from_ms(110);
     // A step that comes this late shows that this host itself was held up. What
     // has arrived meanwhile is read first: the step is put off once, by the
     // second figure.
--- a/src/core/forward/relayed_run.cpp
+++ b/src/core/forward/relayed_run.cpp
@@ -59,7 +59,10 @@
 {
     tried_.push_back(to);
     ++to->open;
-    accept_end_ = now + o_.pool->settings().accept_timeout;
+    sent_at_ = now;
+    suspected_ = false;
+    put_off_ = false;
+    accept_end_ = now + o_.pool->settings().suspect_timeout;
     call_ = o_.pool->port().run(
         to->host,
         {.route = o_.direct.route->name,
@@ -157,7 +160,7 @@
     if (sent) {
         ++maybe_run_;
     }
-    try_next(now);
+    go_on(now);
 }
 
 void relayed_run::cancel()
@@ -209,12 +212,28 @@
         accept_end_ = now + settings.late_grace;
         return;
     }
-    // The relay is cancelled before it has begun: a relay that wakes up later
-    // reads the query and its end together.
+    if (!suspected_) {
+        suspected_ = true;
+        o_.pool->failed(*tried_.back(), now);
+        accept_end_ = std::max(now, sent_at_ + settings.accept_timeout);
+        return;
+    }
+    // A relay that is frozen and wakes up later reads the query and its end
+    // together, and does not begin.
     note("not_accepted");
     leave_relay();
     ++maybe_run_;
-    o_.pool->failed(*tried_.back(), now);
+    go_on(now);
+}
+
+// After relays that may have begun to run the query, another one may do so
+// while the route allows further upstreams.
+void relayed_run::go_on(time_point now)
+{
+    if (maybe_run_ >= o_.direct.route->attempts) {
+        refuse(502, errc::peer_unreachable, "no relay has accepted the query");
+        return;
+    }
     try_next(now);
 }
 
--- a/src/core/forward/relayed_run.hpp
+++ b/src/core/forward/relayed_run.hpp
@@ -45,6 +45,7 @@
     void try_next(time_point now);
     void send(relay_ptr const& to, time_point now);
     void run_directly();
+    void go_on(time_point now);
     void on_event(relay_event event);
     void on_answer(relay_answer&& answer);
     void on_lost(bool sent, time_point now);
@@ -58,8 +59,10 @@
 
     options o_;
     std::vector<relay_ptr> tried_;
-    std::shared_ptr<relay_call> call_; // at the last of tried_
-    std::optional<time_point> accept_end_;
+    std::shared_ptr<relay_call> call_;     // at the last of tried_
+    time_point sent_at_{};                 // of the last try
+    std::optional<time_point> accept_end_; // the next step without agreement
+    bool suspected_ = false;               // the relay of the last try
     bool accepted_ = false;
     bool put_off_ = false;        // the end of the time to accept, once
     std::uint32_t maybe_run_ = 0; // relays that may have begun all the same
