Keep the platform's words of the soak in its stand-ins

scripts/check-boundary failed on soak/world.cpp, which built the documents of the store by itself. They move to standins/fleet/documents.

--- a/soak/faults.cpp
+++ b/soak/faults.cpp
@@ -351,9 +351,8 @@
 void fault_source::write_odd_entries()
 {
     auto& store = world_.platform();
-    store.put(names::upstreams, "odd-1", {{"backend", 7}});
-    store.put(names::upstreams, "odd-2",
-              {{"backend", single_service}, {"state", "asleep"}});
+    store.put(names::upstreams, "odd-1", standin::entry_without_address());
+    store.put(names::upstreams, "odd-2", standin::entry_in_unknown_state());
     auto const ahead = std::chrono::duration_cast<std::chrono::milliseconds>(
                            std::chrono::system_clock::now().time_since_epoch())
                            .count() +
--- a/soak/world.cpp
+++ b/soak/world.cpp
@@ -3,7 +3,6 @@
 #include "platform/names.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/json/array.hpp>
 
 #include <unistd.h>
 
@@ -13,7 +12,6 @@
 namespace soak {
 
 namespace asio = boost::asio;
-namespace json = boost::json;
 namespace names = snipemill::platform::names;
 using asio::ip::tcp;
 
@@ -55,19 +53,6 @@
     return "127.0.0.1:" + std::to_string(port);
 }
 
-json::object route(std::string const& name, char const* prefix,
-                   manifest_state const& state)
-{
-    return {{"name", name},
-            {"host", "soak"},
-            {"path_prefix", prefix},
-            {"type", "idempotent"},
-            {"attempts", 2},
-            {"timeout_ms", state.timeout_ms},
-            {"target_latency_ms", 120},
-            {"priority", 1}};
-}
-
 } // namespace
 
 world::world(asio::io_context& io, world_options options)
@@ -142,36 +127,8 @@
 
 void world::publish(manifest_state next)
 {
-    json::array routes;
-    json::array shards;
-    json::array services;
-    for (auto const& it : next.shards) {
-        shards.emplace_back(it);
-        services.emplace_back(json::object{{"name", it}, {"max_conns", 40}});
-    }
-    services.emplace_back(
-        json::object{{"name", single_service}, {"max_conns", 60}});
-    auto wide = route("wide", "/wide/", next);
-    wide["gather"] = std::move(shards);
-    wide["top_k"] = 5;
-    wide["min_shard_ratio"] = 0.6;
-    routes.emplace_back(std::move(wide));
-    auto one = route("one", "/one/", next);
-    one["backend"] = single_service;
-    routes.emplace_back(std::move(one));
-    auto once = route("once", "/once/", next);
-    once["backend"] = single_service;
-    once["type"] = "non_idempotent";
-    routes.emplace_back(std::move(once));
-    if (next.extra_route) {
-        auto extra = route("extra", "/extra/", next);
-        extra["backend"] = single_service;
-        routes.emplace_back(std::move(extra));
-    }
     store_.put(names::manifests, names::newest_manifest,
-               {{"version", next.version},
-                {"routes", std::move(routes)},
-                {"services", std::move(services)}});
+               standin::manifest_document(next));
     published_at_ = std::chrono::steady_clock::now();
     manifests_.push_back(std::move(next));
 }
@@ -196,15 +153,8 @@
 {
     auto const& o = it.server->options();
     store_.put(names::upstreams, o.instance,
-               {{"backend", o.service},
-                {"address", address(it.proxy->port())},
-                {"zone", it.data_centre},
-                {"version", "v1"},
-                {"max_concurrency", o.slots},
-                {"state", it.draining ? "draining" : "ready"},
-                {"warmup_left_ms", 0},
-                {"sequence", 1},
-                {"born", 1}});
+               standin::upstream_document(o, address(it.proxy->port()),
+                                          it.data_centre, it.draining));
 }
 
 void world::drain(upstream_entry& it)
--- a/soak/world.hpp
+++ b/soak/world.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "fleet/documents.hpp"
 #include "fleet/fault_proxy.hpp"
 #include "fleet/store.hpp"
 #include "fleet/upstream.hpp"
@@ -18,6 +19,8 @@
 
 namespace soak {
 
+using standin::manifest_state;
+using standin::single_service;
 using standin::steady_time;
 
 // Sizes of the fleet under test.
@@ -59,15 +62,6 @@
     bool gone = false;
 };
 
-// The routes of one version.
-struct manifest_state
-{
-    std::uint64_t version = 0;
-    std::set<std::string> shards;
-    bool extra_route = false; // "/extra/"
-    unsigned timeout_ms = 900;
-};
-
 // The programs under test and the stand-ins around them, on loopback.
 class world
 {
@@ -125,6 +119,5 @@
 {
     return "shard-" + std::to_string(n);
 }
-inline constexpr char const* single_service = "single";
 
 } // namespace soak
--- /dev/null
+++ b/standins/fleet/documents.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "fleet/upstream.hpp"
+
+#include <boost/json/object.hpp>
+
+#include <cstdint>
+#include <set>
+#include <string>
+
+namespace standin {
+
+// The service of routes without a gather.
+inline constexpr char const* single_service = "single";
+
+// The routes of one version.
+struct manifest_state
+{
+    std::uint64_t version = 0;
+    std::set<std::string> shards;
+    bool extra_route = false; // "/extra/"
+    unsigned timeout_ms = 900;
+};
+
+// What the operator and an upstream write into the store.
+boost::json::object manifest_document(manifest_state const& from);
+boost::json::object upstream_document(upstream_options const& from,
+                                      std::string const& address,
+                                      std::string const& data_centre,
+                                      bool draining);
+// Entries that another writer has spoilt.
+boost::json::object entry_without_address();
+boost::json::object entry_in_unknown_state();
+
+} // namespace standin
