--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -158,7 +158,7 @@
     if (hosts.empty()) {
         return;
     }
-    auto const plan = plan_relays(hosts, settings_.name);
+    auto const plan = plan_relays(hosts, settings_.name, settings_.data_centre);
     fleet_sharing next{.hosts = static_cast<double>(hosts.size()),
                        .relays = static_cast<double>(plan.relays),
                        .relay = plan.self};
--- a/src/core/forward/relay_plan.cpp
+++ b/src/core/forward/relay_plan.cpp
@@ -52,14 +52,13 @@
 
 } // namespace
 
-relay_plan plan_relays(std::vector<fleet_host> hosts, std::string const& own,
+relay_plan plan_relays(std::vector<fleet_host> const& hosts,
+                       std::string const& own,
+                       std::string const& own_data_centre,
                        relay_plan_settings const& settings)
 {
     relay_plan out;
-    auto const self =
-        std::find_if(hosts.begin(), hosts.end(),
-                     [&](fleet_host const& it) { return it.name == own; });
-    if (hosts.size() <= settings.direct_hosts || self == hosts.end()) {
+    if (hosts.size() <= settings.direct_hosts) {
         return out;
     }
     std::map<std::string, host_group> data_centres;
@@ -73,10 +72,10 @@
         for (auto const* const it :
              relays_of(group, most_cores * settings.strong_part, settings)) {
             ++out.relays;
-            if (it == &*self) {
+            if (it->name == own) {
                 out.self = true;
             }
-            else if (name == self->data_centre) {
+            else if (name == own_data_centre) {
                 out.known.push_back(*it);
             }
             else {
--- a/src/core/forward/relay_plan.hpp
+++ b/src/core/forward/relay_plan.hpp
@@ -56,8 +56,11 @@
 // closed, and a host with an eighth of a core needs most of the objective to
 // write 90 requests. A few relays, the strongest hosts of each data centre,
 // keep the connections busy and learn soon which replica is slow. Every host
-// computes the same relays from the same entries.
-relay_plan plan_relays(std::vector<fleet_host> hosts, std::string const& own,
+// computes the same relays from the same entries. A host that is not listed,
+// because it leaves or has just started, uses the others and is none itself.
+relay_plan plan_relays(std::vector<fleet_host> const& hosts,
+                       std::string const& own,
+                       std::string const& own_data_centre,
                        relay_plan_settings const& settings = {});
 
 } // namespace snipemill
