Log the fingerprint of requests that lost an upstream

Callers saw a request come back and end upstream after upstream. The log could not tell the hypotheses apart: each attempt has an id of its own, so lines of the same request on several hosts had nothing in common. Lines of requests that lost an exchange now carry 'print', the hash of method, host, target, credentials and body, which is the same on every host. Relays get it with the query, since they have the request only as text.

Ruled out: hashing all headers, because tracing headers differ between attempts. Tests: forward_text.a_repeated_request_has_the_same_fingerprint and relay_codec.queries_arrive_unchanged pass.

--- a/src/adapters/codec/relay_codec.cpp
+++ b/src/adapters/codec/relay_codec.cpp
@@ -107,6 +107,7 @@
     out.set_target(query.request->target);
     out.set_text(query.request->text);
     out.set_body(query.request->body);
+    out.set_print(query.request->print.value);
     return out.SerializeAsString();
 }
 
@@ -127,7 +128,8 @@
                         .method = in->method(),
                         .target = in->target(),
                         .text = in->text(),
-                        .body = in->body()});
+                        .body = in->body(),
+                        .print = fingerprint(in->print())});
     return out;
 }
 
--- a/src/adapters/forward/forward_text.cpp
+++ b/src/adapters/forward/forward_text.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http/error_body.hpp"
 #include "core/base/overloaded.hpp"
+#include "core/forward/request_fingerprint.hpp"
 
 #include <algorithm>
 #include <array>
@@ -115,10 +116,16 @@
 {
     auto const connection = std::string(from.header("connection"));
     auto& headers = from.headers;
+    auto const print = fingerprint_of({.method = from.method,
+                                       .host = from.header("host"),
+                                       .target = from.target,
+                                       .caller = from.header("authorization"),
+                                       .body = from.body});
     forward_request out{.id = from.header(names.request_id),
                         .method = from.method,
                         .target = from.target,
-                        .body = std::move(from.body)};
+                        .body = std::move(from.body),
+                        .print = print};
     out.text.reserve(256);
     out.text.append(from.method).append(" ").append(from.target);
     out.text.append(" HTTP/1.1\r\n");
--- a/src/app/forward/request_log.cpp
+++ b/src/app/forward/request_log.cpp
@@ -33,6 +33,7 @@
                      {"missing", summary.faults},
                      {"attempts", summary.attempts},
                      {"relays", summary.relays},
+                     {"print", summary.print},
                      {"reason", end.reason}});
 }
 
--- a/src/core/forward/caller_answer.hpp
+++ b/src/core/forward/caller_answer.hpp
@@ -48,6 +48,8 @@
     // Attempts of the services that gave no answer or took more than one
     // attempt; limited in number.
     std::string attempts;
+    // Fingerprint of a request that lost an attempt; empty otherwise.
+    std::string print;
     std::string relays; // relays that were called, with their outcomes
 };
 
--- a/src/core/forward/exchange.hpp
+++ b/src/core/forward/exchange.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/base/strong_id.hpp"
 #include "core/forward/upstream_view.hpp"
 
 #include <cstdint>
@@ -48,6 +49,7 @@
     std::string target;
     std::string text; // request line and headers common to all upstreams
     std::string body;
+    fingerprint print; // of the request_identity
 };
 
 using exchange_id = std::uint64_t;
--- a/src/core/forward/request_run.cpp
+++ b/src/core/forward/request_run.cpp
@@ -1,5 +1,6 @@
 #include "core/forward/request_run.hpp"
 
+#include "core/forward/request_fingerprint.hpp"
 #include "core/forward/required_shards.hpp"
 #include "core/forward/shard_merge.hpp"
 
@@ -349,6 +350,10 @@
         out.faults += "open:" + std::to_string(open);
     }
     append_attempts(out.attempts);
+    if (std::any_of(fetches_.begin(), fetches_.end(),
+                    [](auto const& it) { return it->lost_attempt(); })) {
+        out.print = to_text(options_.request->print);
+    }
     return out;
 }
 
--- a/src/core/forward/service_fetch.cpp
+++ b/src/core/forward/service_fetch.cpp
@@ -354,6 +354,13 @@
     finish(fetch_failure(std::move(failure_)));
 }
 
+bool service_fetch::lost_attempt() const
+{
+    return std::any_of(
+        attempts_.begin(), attempts_.end(),
+        [](attempt const& it) { return it.outcome == attempt_outcome::lost; });
+}
+
 void service_fetch::append_attempts(std::string& out) const
 {
     auto const now = options_.shared->now();
--- a/src/core/forward/service_fetch.hpp
+++ b/src/core/forward/service_fetch.hpp
@@ -175,6 +175,8 @@
     // True when an upstream may have begun to run the request.
     bool may_have_run() const { return possible_runs_ > 0; }
     bool was_attempted() const { return attempt_count_ > 0; }
+    // Whether an upstream ended an exchange without a complete answer.
+    bool lost_attempt() const;
     std::uint32_t attempt_count() const { return attempt_count_; }
     std::uint32_t hedges() const { return hedges_; }
     // Appends the attempts in order, as "instance=outcome@ms".
--- a/tests/adapters/codec/relay_codec_test.cpp
+++ b/tests/adapters/codec/relay_codec_test.cpp
@@ -13,18 +13,19 @@
 TEST(relay_codec, queries_arrive_unchanged)
 {
     CHECK(rc::check([] {
-        relay_query const out{.route = gen::name(),
-                              .fingerprint = gen::any<std::uint64_t>(),
-                              .elapsed = gen::time(),
-                              .left = gen::time(),
-                              .attempts = *rc::gen::inRange(1U, 9U),
-                              .request =
-                                  std::make_shared<forward_request const>(
-                                      forward_request{.id = gen::bytes(),
-                                                      .method = gen::bytes(),
-                                                      .target = gen::bytes(),
-                                                      .text = gen::bytes(),
-                                                      .body = gen::bytes()})};
+        relay_query const out{
+            .route = gen::name(),
+            .fingerprint = gen::any<std::uint64_t>(),
+            .elapsed = gen::time(),
+            .left = gen::time(),
+            .attempts = *rc::gen::inRange(1U, 9U),
+            .request = std::make_shared<forward_request const>(forward_request{
+                .id = gen::bytes(),
+                .method = gen::bytes(),
+                .target = gen::bytes(),
+                .text = gen::bytes(),
+                .body = gen::bytes(),
+                .print = fingerprint(gen::any<std::uint64_t>())})};
         auto const in = decode_relay_query(encode(out));
         RC_ASSERT(in.has_value());
         RC_ASSERT(in->route == out.route);
@@ -37,6 +38,7 @@
         RC_ASSERT(in->request->target == out.request->target);
         RC_ASSERT(in->request->text == out.request->text);
         RC_ASSERT(in->request->body == out.request->body);
+        RC_ASSERT(in->request->print == out.request->print);
     }));
 }
 
--- a/tests/adapters/forward/forward_text_test.cpp
+++ b/tests/adapters/forward/forward_text_test.cpp
@@ -43,6 +43,32 @@
     CHECK(text.ends_with("\r\n\r\nbody"));
 }
 
+// Guards against taking a repeated request for another one because its id and
+// deadline differ, and two requests for the same one.
+TEST(forward_text, a_repeated_request_has_the_same_fingerprint)
+{
+    http_request const first{
+        .method = "GET",
+        .target = "/a",
+        .headers = {{"host", "h"}, {"x-id", "1"}, {"x-left", "100"}}};
+    auto again = first;
+    again.headers[1].second = "2";
+    again.headers[2].second = "50";
+    auto const print = [this](http_request it) {
+        return make_forward_request(std::move(it), names).print;
+    };
+    CHECK(print(first) == print(again));
+    auto other = first;
+    other.target = "/b";
+    CHECK(print(first) != print(other));
+    other = first;
+    other.headers.emplace_back("authorization", "Bearer x");
+    CHECK(print(first) != print(other));
+    other = first;
+    other.body = "x";
+    CHECK(print(first) != print(other));
+}
+
 // Guards against forwarding a caller's own instance or deadline header, which
 // could name another instance or more time than is left.
 TEST(forward_text, sets_its_own_headers_once)
