--- a/tests/core/forward/forward_fixture.hpp
+++ b/tests/core/forward/forward_fixture.hpp
@@ -135,7 +135,7 @@
 // Runs one request on a route. Time advances only in pass().
 struct run_driver
 {
-    run_driver(forward_fixture& f, forward_route r)
+    run_driver(forward_fixture& f, forward_route r, fingerprint print = {})
         : fixture(f), route(std::move(r))
     {
         std::vector<std::string const*> services;
@@ -154,7 +154,7 @@
             .route = &route,
             .services = std::move(services),
             .request = std::make_shared<forward_request const>(
-                forward_request{.id = "1"}),
+                forward_request{.id = "1", .print = print}),
             .arrival = fixture.now,
             .end = fixture.now + route.timeout,
             .on_answer = [this](caller_answer a) { answer = std::move(a); }});
