Refuse requests that end the upstreams that run them

Cause: the forwarding path kept nothing about a request beyond one attempt of its caller. Class of fault: a rule over all hosts and repeated attempts, decided with the state of one attempt.

Fix: core/forward/crash_guard counts the upstreams whose process ended while they ran a request; an answer from any upstream clears the request. Suspects get one attempt, alone; a suspected query goes to one shard first. From three upstreams on the request is refused with 503, 'not run'. Hosts share the counts as objects of the store and read them when they start.

--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -41,7 +41,12 @@
                                invariant_checker& checks, std::uint64_t seed)
     : io_(io), fleet_(fleet), checks_(checks), random_(seed), timer_(io),
       restart_timer_(io)
-{}
+{
+    fleet_.on_crash([this](upstream_entry& it, std::string const& id) {
+        checks_.on_crash(id);
+        crash_upstream(it);
+    });
+}
 
 double fault_injector::uniform(double from, double to)
 {
@@ -72,10 +77,12 @@
     timer->async_wait([timer, f = std::move(f)](auto) { f(); });
 }
 
-void fault_injector::start()
+void fault_injector::start(bool faults)
 {
     restart_exited();
-    schedule_next();
+    if (faults) {
+        schedule_next();
+    }
 }
 
 void fault_injector::stop()
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -63,7 +63,8 @@
     fault_injector(fault_injector const&) = delete;
     fault_injector& operator=(fault_injector const&) = delete;
 
-    void start();
+    // Without faults, processes that exit are still restarted.
+    void start(bool faults);
     // Injects no further faults. Active faults still end at their time.
     void stop();
     std::map<fault_kind, int> const& counts() const { return counts_; }
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -27,6 +27,11 @@
 constexpr double retry_slack = 48;
 constexpr milliseconds retry_window{10'000};
 
+// After a request has ended this many upstreams, and a settle time has passed,
+// hosts without faults may let it through in this many attempts of its caller.
+constexpr std::size_t accepted_crashes = 3;
+constexpr std::size_t accepted_late_attempts = 3;
+
 // Settings of the gather route in standin::manifest_document().
 constexpr std::size_t top_k = 5;
 constexpr double min_shard_share = 0.6;
@@ -82,6 +87,15 @@
 
 void invariant_checker::on_outcome(request_outcome const& it)
 {
+    if (it.crashing) {
+        if (it.status == 200) {
+            report_violation("crashing request " + it.id + " was answered");
+        }
+        if (means_not_run(it.status)) {
+            not_run_.insert(it.id);
+        }
+        return;
+    }
     ++completed_;
     if (it.kind == request_kind::fan_out) {
         for (auto const& shard : fleet_.manifest().shards) {
@@ -171,6 +185,46 @@
     }
 }
 
+void invariant_checker::on_crashing_request(std::string const& id,
+                                            std::string const& path,
+                                            host const& to)
+{
+    crashing_attempts_[id] = {.path = path, .to = &to};
+}
+
+bool invariant_checker::settled(host const& it, steady_time now) const
+{
+    return now - it.last_fault_at > settle_time;
+}
+
+void invariant_checker::on_crash(std::string const& id)
+{
+    auto const now = std::chrono::steady_clock::now();
+    auto const& attempt = crashing_attempts_[id];
+    auto& it = crashing_[attempt.path];
+    if (++it.crashes == accepted_crashes) {
+        it.third_crash = now;
+    }
+    // The first hosts may have run the request as relays.
+    constexpr std::size_t relays = 4;
+    auto const& hosts = fleet_.hosts();
+    bool const in_touch =
+        settled(*attempt.to, now) &&
+        now - fleet_.last_store_fault() > settle_time &&
+        std::all_of(hosts.begin(),
+                    hosts.begin() + static_cast<std::ptrdiff_t>(
+                                        std::min(relays, hosts.size())),
+                    [&](auto const& relay) { return settled(*relay, now); });
+    if (it.crashes > accepted_crashes && in_touch &&
+        now - it.third_crash > settle_time && it.late.insert(id).second &&
+        it.late.size() == accepted_late_attempts + 1) {
+        report_violation("crashing request " + attempt.path + " was sent " +
+                         std::to_string(it.late.size()) +
+                         " times after it had ended three upstreams; " +
+                         std::to_string(it.crashes) + " ended in all");
+    }
+}
+
 void invariant_checker::check_draining(steady_time now)
 {
     bool const store_settled = now - fleet_.last_store_fault() > settle_time;
@@ -251,6 +305,10 @@
         }
     }
     check_retry_budget();
+    for (auto const& [path, it] : crashing_) {
+        std::cout << "crashing request " << path << " ended " << it.crashes
+                  << " upstreams\n";
+    }
 }
 
 } // namespace soak
--- a/soak/load_generator.cpp
+++ b/soak/load_generator.cpp
@@ -23,6 +23,11 @@
 constexpr milliseconds poll_timeout{400};
 constexpr int max_failed_polls = 2;
 
+// A crashing request is sent at this interval, each time to another host, and
+// replaced by another one after this number of times.
+constexpr milliseconds crash_interval{400};
+constexpr std::uint64_t sends_per_crashing_request = 30;
+
 // Deadline sent with each request, and the time-out of the HTTP client.
 constexpr unsigned deadline_ms = 800;
 constexpr auto client_timeout = snipemill::from_ms(1500);
@@ -56,7 +61,7 @@
 load_generator::load_generator(boost::asio::io_context& io, test_fleet& fleet,
                                invariant_checker& checks, std::uint64_t seed)
     : io_(io), fleet_(fleet), checks_(checks), random_(seed),
-      request_timer_(io), readiness_timer_(io)
+      request_timer_(io), readiness_timer_(io), crash_timer_(io)
 {
     for (auto const& it : fleet_.hosts()) {
         caller_clients_[it->name] =
@@ -71,6 +76,7 @@
 {
     poll_readiness();
     send_next();
+    send_crashing();
 }
 
 void load_generator::stop()
@@ -78,6 +84,7 @@
     stopped_ = true;
     request_timer_.cancel();
     readiness_timer_.cancel();
+    crash_timer_.cancel();
 }
 
 void load_generator::poll_readiness()
@@ -139,9 +146,40 @@
     auto const* const path = kind == request_kind::fan_out      ? "/wide/x"
                              : kind == request_kind::idempotent ? "/one/x"
                                                                 : "/once/x";
+    send(to, std::move(outcome), path);
+}
+
+void load_generator::send_crashing()
+{
+    if (stopped_ || !crashing_) {
+        return;
+    }
+    if (auto* const to = pick_ready_host()) {
+        auto const number = crashing_sends_++ / sends_per_crashing_request;
+        bool const wide = number % 2 == 1;
+        request_outcome outcome{.id = "c" + std::to_string(next_id_++),
+                                .kind = wide ? request_kind::fan_out
+                                             : request_kind::idempotent,
+                                .crashing = true,
+                                .sent = std::chrono::steady_clock::now()};
+        auto const path = std::string(wide ? "/wide" : "/one") +
+                          standin::crash_path + std::to_string(number);
+        checks_.on_crashing_request(outcome.id, path, *to);
+        send(*to, std::move(outcome), path);
+    }
+    crash_timer_.expires_after(crash_interval);
+    crash_timer_.async_wait([this](boost::system::error_code ec) {
+        if (!ec) {
+            send_crashing();
+        }
+    });
+}
+
+void load_generator::send(host& to, request_outcome outcome, std::string path)
+{
     http_request request{
         .method = "GET",
-        .target = path,
+        .target = std::move(path),
         .headers = {{names::request_id, outcome.id},
                     {names::time_left, std::to_string(deadline_ms)}}};
     caller_clients_[to.name]->send(
--- a/soak/load_generator.hpp
+++ b/soak/load_generator.hpp
@@ -27,10 +27,14 @@
 
     void start();
     void stop();
+    // Ends the crashing requests, which are sent again and again before.
+    void stop_crashing() { crashing_ = false; }
 
 private:
     void send_next();
     void send_request(host& to, request_kind kind);
+    void send_crashing();
+    void send(host& to, request_outcome outcome, std::string path);
     void poll_readiness();
     void on_result(host const& to, request_outcome outcome,
                    snipemill::http_result result);
@@ -42,6 +46,9 @@
     std::mt19937_64 random_;
     boost::asio::steady_timer request_timer_;
     boost::asio::steady_timer readiness_timer_;
+    boost::asio::steady_timer crash_timer_;
+    std::uint64_t crashing_sends_ = 0;
+    bool crashing_ = true;
     std::map<std::string, std::unique_ptr<snipemill::http_client>>
         caller_clients_;
     std::map<std::string, std::unique_ptr<snipemill::http_client>>
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -46,13 +46,14 @@
         }
     }
 
-    int run(double duration)
+    int run(double duration, bool inject)
     {
         run_for(startup_time);
         load.start();
-        faults.start();
+        faults.start(inject);
         run_for(std::chrono::duration<double>(duration));
         faults.stop();
+        load.stop_crashing();
         run_for(recovery_time);
         auto const completed = checks.completed();
         auto const served = checks.served();
@@ -101,8 +102,9 @@
         "hosts", "number of host processes",
         cxxopts::value<std::size_t>()->default_value("14"))(
         "seconds", "duration of load with faults, in seconds",
-        cxxopts::value<double>()->default_value("20"))("help",
-                                                       "print this help");
+        cxxopts::value<double>()->default_value("20"))(
+        "calm", "no faults but requests that crash upstreams")(
+        "help", "print this help");
     auto const args = options.parse(argc, argv);
     if (args.count("help") > 0 || args.count("program") == 0 ||
         args.count("folder") == 0) {
@@ -115,5 +117,5 @@
                   .folder = folder,
                   .seed = args["seed"].as<std::uint64_t>(),
                   .hosts = args["hosts"].as<std::size_t>()});
-    return run.run(args["seconds"].as<double>());
+    return run.run(args["seconds"].as<double>(), args.count("calm") == 0);
 }
--- a/soak/test_fleet.cpp
+++ b/soak/test_fleet.cpp
@@ -138,10 +138,15 @@
 {
     auto it = std::make_unique<upstream_entry>();
     auto const n = next_instance_++;
+    auto const instance = "i-" + std::to_string(n);
     it->server = std::make_unique<standin::upstream>(
         io_,
-        standin::upstream_options{.instance = "i-" + std::to_string(n),
-                                  .service = service},
+        standin::upstream_options{.instance = instance,
+                                  .service = service,
+                                  .on_crash =
+                                      [this, instance](std::string const& id) {
+                                          crash(instance, id);
+                                      }},
         runs_, options_.seed * 1000 + n);
     it->proxy =
         std::make_unique<standin::fault_proxy>(io_, local(it->server->port()));
@@ -158,6 +163,16 @@
                                           it.data_centre, it.draining));
 }
 
+void test_fleet::crash(std::string const& instance, std::string const& id)
+{
+    for (auto const& it : upstreams_) {
+        if (!it->stopped && it->server->options().instance == instance) {
+            on_crash_(*it, id);
+            return;
+        }
+    }
+}
+
 void test_fleet::start_drain(upstream_entry& it)
 {
     it.draining = true;
--- a/soak/test_fleet.hpp
+++ b/soak/test_fleet.hpp
@@ -10,11 +10,13 @@
 
 #include <cstdint>
 #include <filesystem>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace soak {
@@ -84,6 +86,12 @@
     void stop_upstream(upstream_entry& it);
     void remove_entry(upstream_entry const& it);
 
+    // Sets what ends an upstream that has run a crashing request.
+    void on_crash(std::function<void(upstream_entry&, std::string const&)> f)
+    {
+        on_crash_ = std::move(f);
+    }
+
     // Sets last_store_fault() to now. To be called when a fault of the store
     // begins and when it ends.
     void record_store_fault();
@@ -106,6 +114,7 @@
     void write_settings(host const& it, std::uint16_t metrics,
                         std::uint16_t relay, double cores) const;
     void register_upstream(upstream_entry const& it);
+    void crash(std::string const& instance, std::string const& id);
 
     boost::asio::io_context& io_;
     fleet_options options_;
@@ -117,6 +126,7 @@
     steady_time published_at_{};
     steady_time last_store_fault_{};
     std::uint64_t next_instance_ = 1;
+    std::function<void(upstream_entry&, std::string const&)> on_crash_;
 };
 
 // Name of the service of shard n.
--- a/src/adapters/forward/upstream_links.cpp
+++ b/src/adapters/forward/upstream_links.cpp
@@ -216,7 +216,7 @@
         to.record.draining || to.evacuated) {
         return;
     }
-    if (to.in_subset) {
+    if (std::exchange(it->check_after_loss, false) || to.in_subset) {
         connect(it);
     }
     else if (to.reach == reachability::unreachable) {
@@ -313,6 +313,7 @@
     }
     else {
         ++counters_.lost;
+        it->check_after_loss = !exchanges_.at(id).aborted;
         complete_exchange(
             id, exchange_lost{.closed_by_host = exchanges_.at(id).aborted});
     }
--- a/src/adapters/forward/upstream_links.hpp
+++ b/src/adapters/forward/upstream_links.hpp
@@ -111,6 +111,9 @@
         duration reconnect_delay{};
         // An answer has arrived since the last reconnect was scheduled.
         bool answered_since_failure = false;
+        // An exchange was lost; a new connection shows whether the upstream
+        // still runs.
+        bool check_after_loss = false;
         duration idle_timeout{};
         boost::asio::steady_timer timer; // of reconnect()
         bool timer_set = false;
--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -3,6 +3,7 @@
 #include "adapters/logging/logger.hpp"
 #include "app/core_time.hpp"
 #include "core/base/overloaded.hpp"
+#include "core/forward/request_fingerprint.hpp"
 
 #include <algorithm>
 #include <random>
@@ -31,6 +32,22 @@
 constexpr duration host_watch_timeout = from_ms(20'000);
 constexpr duration host_batch_delay = from_ms(500);
 
+// The store has no history of this kind to lose unnoticed: kinds with short
+// watches notice it and relist all kinds.
+constexpr duration crash_watch_timeout = from_ms(20'000);
+
+// Entries of crashes older than this are removed.
+constexpr std::int64_t crash_lifetime_ms =
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+        quarantine_settings{}.expiry)
+        .count();
+
+// Changes of crash entries that wait for the store. More of them mean that
+// upstreams end in masses, not because of one request.
+constexpr std::size_t max_crash_changes = 256;
+
+constexpr auto crash_retry_delay = std::chrono::milliseconds(300);
+
 // A host renews its entry at this interval. An entry that is three intervals
 // old belongs to a host that stopped without removing it.
 constexpr auto renewal_interval = std::chrono::seconds(60);
@@ -85,7 +102,7 @@
                                  store_port& store, publish_callback publish)
     : store_(store), publish_(std::move(publish)),
       random_(std::random_device()()), host_(own_host(settings)),
-      expiry_timer_(io), renewal_timer_(io),
+      expiry_timer_(io), renewal_timer_(io), crash_timer_(io),
       max_batch_delay_(std::chrono::duration_cast<duration>(
           settings.leave_within * max_batch_delay_ratio))
 {
@@ -93,7 +110,7 @@
     std::array const timeouts{settings.change_within - watch_margin,
                               settings.leave_within - watch_margin,
                               settings.evacuate_within - watch_margin,
-                              host_watch_timeout};
+                              host_watch_timeout, crash_watch_timeout};
     for (std::size_t i = 0; i < watchers_.size(); ++i) {
         watchers_[i] =
             std::make_unique<watcher>(io, store_kind_names[i].first, mirror);
@@ -132,6 +149,7 @@
 {
     draining_ = true;
     renewal_timer_.cancel();
+    crash_timer_.cancel();
     store_.remove_host(host_.name);
 }
 
@@ -161,6 +179,95 @@
             it->timer.cancel();
         }
     }
+    send_crash_changes();
+}
+
+void forward_control::change_crash(crash_entry const& entry, bool add)
+{
+    std::erase_if(crash_changes_, [&](crash_change const& it) {
+        return it.entry.same_crash(entry);
+    });
+    if (crash_changes_.size() >= max_crash_changes) {
+        log_info("crash_not_shared", {{"print", to_text(entry.print)}});
+        return;
+    }
+    crash_changes_.push_back({.entry = entry, .add = add});
+    send_crash_changes();
+}
+
+void forward_control::send_crash_changes()
+{
+    bool waiting = false;
+    // A copy, because a call that is refused at once changes the list.
+    auto const changes = crash_changes_;
+    for (auto const& it : changes) {
+        if (!it.sent) {
+            send_crash_change(it.entry);
+        }
+        waiting = true;
+    }
+    if (!waiting || draining_) {
+        return;
+    }
+    crash_timer_.expires_after(crash_retry_delay);
+    crash_timer_.async_wait([this](boost::system::error_code ec) {
+        if (!ec) {
+            send_crash_changes();
+        }
+    });
+}
+
+void forward_control::send_crash_change(crash_entry const& entry)
+{
+    auto const find = [this, entry] {
+        return std::find_if(
+            crash_changes_.begin(), crash_changes_.end(),
+            [&](crash_change const& it) { return it.entry.same_crash(entry); });
+    };
+    auto const it = find();
+    it->sent = true;
+    auto const done = [this, find, add = it->add](bool ok) {
+        auto const change = find();
+        if (change == crash_changes_.end() || change->add != add) {
+            return;
+        }
+        if (ok) {
+            crash_changes_.erase(change);
+        }
+        else {
+            change->sent = false;
+        }
+    };
+    if (it->add) {
+        store_.put_crash(entry, done);
+    }
+    else {
+        store_.remove_crash(entry, done);
+    }
+}
+
+// Returns the entries that have not expired. One host of the fleet, the first
+// by name, removes those that have.
+std::vector<crash_entry>
+forward_control::live_crashes(std::vector<fleet_host> const& hosts)
+{
+    auto const oldest = wall_clock_ms() - crash_lifetime_ms;
+    bool const first =
+        !hosts.empty() &&
+        std::none_of(hosts.begin(), hosts.end(),
+                     [this](auto const& it) { return it.name < host_.name; });
+    std::vector<crash_entry> out;
+    watchers_[4]->mirror.for_each(
+        [&](std::string const&, store_value const& it) {
+            auto const* const entry = std::get_if<crash_entry>(&it);
+            if (entry && entry->seen_ms >= oldest) {
+                out.push_back(*entry);
+            }
+            else if (entry && first) {
+                store_.remove_crash(*entry, [](bool) {});
+            }
+        });
+    return out;
 }
 
 void forward_control::call(watcher& it)
@@ -313,7 +420,7 @@
 void forward_control::publish()
 {
     auto const out = std::make_shared<forward_snapshot>();
-    auto& [manifests, upstreams, evacuations, hosts] = watchers_;
+    auto& [manifests, upstreams, evacuations, hosts, crashes] = watchers_;
     manifests->mirror.for_each(
         [this](std::string const&, store_value const& it) {
             apply_manifest(it);
@@ -337,6 +444,9 @@
             std::clamp(upstream_batch_delay_per_host * n, upstream_batch_delay,
                        std::max(upstream_batch_delay, max_batch_delay_));
     }
+    if (crashes->mirror.ready()) {
+        out->crashes = live_crashes(out->hosts);
+    }
     out->upstreams_revision = upstreams->mirror.revision();
     publish_(out);
     arm_expiry();
--- a/src/app/forward/forward_control.hpp
+++ b/src/app/forward/forward_control.hpp
@@ -34,6 +34,10 @@
     void start();
     // Removes this host's entry from the store.
     void deregister();
+    // Writes an entry to the store or removes it, and tries again until the
+    // store has done so.
+    void save_crash(crash_entry const& entry) { change_crash(entry, true); }
+    void clear_crash(crash_entry const& entry) { change_crash(entry, false); }
     // Sends delayed calls at once when the store is available again.
     void on_store_available();
 
@@ -71,15 +75,28 @@
     void arm_expiry();
     std::vector<fleet_host> live_hosts();
     void renew_entry();
+    void change_crash(crash_entry const& entry, bool add);
+    void send_crash_change(crash_entry const& entry);
+    void send_crash_changes();
+    std::vector<crash_entry> live_crashes(std::vector<fleet_host> const& hosts);
 
     store_port& store_;
     publish_callback publish_;
     rng random_;
-    // Manifests, upstreams, evacuations and hosts, in this order.
-    std::array<std::unique_ptr<watcher>, 4> watchers_;
+    // One for each kind, in the order of store_kind_names.
+    std::array<std::unique_ptr<watcher>, store_kind_names.size()> watchers_;
     fleet_host host_;
     boost::asio::steady_timer expiry_timer_;
     boost::asio::steady_timer renewal_timer_;
+    // Changes that the store has not confirmed.
+    struct crash_change
+    {
+        crash_entry entry;
+        bool add = true;
+        bool sent = false; // a call is under way
+    };
+    std::vector<crash_change> crash_changes_;
+    boost::asio::steady_timer crash_timer_;
     duration max_batch_delay_; // for upstreams
     bool registered_ = false;  // this host's entry has been written
     bool draining_ = false;
--- a/src/app/forward/forward_host.cpp
+++ b/src/app/forward/forward_host.cpp
@@ -66,6 +66,11 @@
                 traffic_->apply_snapshot(snapshot);
             });
         });
+    traffic_->on_crash([this](crash_entry const& entry, bool added) {
+        asio::post(control_io_, [this, entry, added] {
+            added ? control_->save_crash(entry) : control_->clear_crash(entry);
+        });
+    });
     metrics_server_ = std::make_unique<http_server>(
         control_io_,
         http_server_options{.ip = settings_.metrics.ip,
--- a/src/app/forward/forward_snapshot.hpp
+++ b/src/app/forward/forward_snapshot.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/forward/crash_guard.hpp"
 #include "core/forward/gather_index.hpp"
 #include "core/forward/manifest.hpp"
 #include "core/forward/relay_plan.hpp"
@@ -34,7 +35,8 @@
     std::vector<upstream_record> upstreams;
     std::set<std::string> evacuated; // data centres
     std::vector<fleet_host> hosts;   // of the fleet; empty until listed
-    bool complete = false;           // has a manifest, upstreams, evacuations
+    std::vector<crash_entry> crashes;
+    bool complete = false; // has a manifest, upstreams, evacuations
     std::uint64_t upstreams_revision = 0;
 };
 
--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -6,6 +6,7 @@
 #include "app/core_time.hpp"
 #include "core/base/overloaded.hpp"
 #include "core/forward/cut_off.hpp"
+#include "core/forward/request_fingerprint.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -78,12 +79,8 @@
       fleet_({.host = settings.name, .data_centre = settings.data_centre},
              std::random_device()()),
       links_(io, fleet_, names, {}, core_now,
-             [](upstream_view const& it, bool reachable) {
-                 log_info(reachable ? "upstream_reachable"
-                                    : "upstream_unreachable",
-                          {{"instance", it.record.instance},
-                           {"service", it.record.service},
-                           {"data_centre", it.record.data_centre}});
+             [this](upstream_view const& it, bool reachable) {
+                 on_reach(it, reachable);
              }),
       shared_{.fleet = fleet_,
               .exchanges = links_,
@@ -91,6 +88,7 @@
               .budget_settings = settings.retry_budget,
               .min_hosts = static_cast<double>(settings.hosts),
               .retry_slack = settings.retry_slack,
+              .crashes = crash_guard(crash_options()),
               .now = core_now},
       relay_link_(io),
       relays_({.data_centre = settings.data_centre}, relay_link_,
@@ -142,7 +140,11 @@
     }
     for (auto const& it : changes.removed) {
         links_.remove(it);
+        if (!it->record.draining) {
+            shared_.crashes.on_ended(lifetime_id(it->record), now);
+        }
     }
+    shared_.crashes.set_shared(snapshot_->crashes, now);
     if (!changes.added.empty() || !changes.removed.empty()) {
         log_info("upstreams_changed",
                  {{"added", std::to_string(changes.added.size())},
@@ -152,6 +154,44 @@
     }
 }
 
+crash_guard_options forward_traffic::crash_options()
+{
+    auto const report = [this](crash_entry const& it, bool added) {
+        log_info(added ? "crash_recorded" : "crash_cleared",
+                 {{"print", to_text(it.print)},
+                  {"verdict",
+                   name_of(crash_verdict_names,
+                           shared_.crashes.verdict(it.print, core_now()))}});
+        if (on_crash_) {
+            on_crash_(it, added);
+        }
+    };
+    return {
+        .wall_clock_ms =
+            [] {
+                return std::chrono::duration_cast<std::chrono::milliseconds>(
+                           std::chrono::system_clock::now().time_since_epoch())
+                    .count();
+            },
+        .on_added = [report](crash_entry const& it) { report(it, true); },
+        .on_cleared = [report](crash_entry const& it) { report(it, false); }};
+}
+
+void forward_traffic::on_reach(upstream_view const& it, bool reachable)
+{
+    log_info(reachable ? "upstream_reachable" : "upstream_unreachable",
+             {{"instance", it.record.instance},
+              {"service", it.record.service},
+              {"data_centre", it.record.data_centre}});
+    auto const id = lifetime_id(it.record);
+    if (reachable) {
+        shared_.crashes.on_connected(id);
+    }
+    else if (!it.record.draining) {
+        shared_.crashes.on_ended(id, core_now());
+    }
+}
+
 // Updates this host's share of the upstreams and of the retry budget, and its
 // relays. Connections to upstreams are opened in advance only after the number
 // of hosts has settled, because a starting fleet would otherwise open more
@@ -423,6 +463,9 @@
     metrics_.set_counter("hedges", shared_.hedges);
     metrics_.set_counter("retries", shared_.retries);
     metrics_.set_counter("repeats_over_budget", shared_.budget_refusals);
+    metrics_.set_counter("quarantined_requests", shared_.quarantined);
+    metrics_.set_gauge("crash_entries",
+                       static_cast<double>(shared_.crashes.size()));
     metrics_.set_counter("bad_requests", callers_.bad_requests());
     metrics_.set_gauge("open_requests",
                        static_cast<double>(callers_.open_requests()));
--- a/src/app/forward/forward_traffic.hpp
+++ b/src/app/forward/forward_traffic.hpp
@@ -38,6 +38,12 @@
     forward_traffic& operator=(forward_traffic const&) = delete;
 
     void apply_snapshot(std::shared_ptr<forward_snapshot const> snapshot);
+    // Sets what is called when this host has seen a request end an upstream
+    // (true), and when the request has been answered after all (false).
+    void on_crash(std::function<void(crash_entry const&, bool)> f)
+    {
+        on_crash_ = std::move(f);
+    }
     void set_retry_budget(retry_budget_settings const& settings);
     // Fails readiness checks and asks callers to close their connections.
     void start_draining();
@@ -67,6 +73,8 @@
     std::vector<std::string const*> services_of(forward_route const& route);
     void refuse(http_request const& request, http_responder const& respond,
                 unsigned status, errc code, duration retry_after);
+    crash_guard_options crash_options();
+    void on_reach(upstream_view const& it, bool reachable);
     void update_fleet_sharing(std::vector<fleet_host> const& hosts);
     void probe_relays();
     void preconnect();
@@ -77,6 +85,7 @@
     forward_settings const& settings_;
     forward_headers const& names_;
     forward_metrics& metrics_;
+    std::function<void(crash_entry const&, bool)> on_crash_;
     std::shared_ptr<forward_snapshot const> snapshot_;
     upstream_fleet fleet_;
     upstream_links links_;
--- a/src/core/forward/relayed_run.cpp
+++ b/src/core/forward/relayed_run.cpp
@@ -32,7 +32,12 @@
 
 void relayed_run::start()
 {
-    try_next_relay(options_.direct.shared->now());
+    auto const& direct = options_.direct;
+    if (auto refusal = quarantine_refusal(*direct.shared, *direct.request)) {
+        finish(std::move(*refusal));
+        return;
+    }
+    try_next_relay(direct.shared->now());
 }
 
 void relayed_run::try_next_relay(time_point now)
--- a/src/core/forward/request_run.cpp
+++ b/src/core/forward/request_run.cpp
@@ -1,5 +1,6 @@
 #include "core/forward/request_run.hpp"
 
+#include "core/base/hash.hpp"
 #include "core/forward/request_fingerprint.hpp"
 #include "core/forward/required_shards.hpp"
 #include "core/forward/shard_merge.hpp"
@@ -57,20 +58,44 @@
            (target ? required_shards(*target) : 1);
 }
 
+std::optional<error_answer> quarantine_refusal(fetch_context& shared,
+                                               forward_request const& request)
+{
+    auto const now = shared.now();
+    if (shared.crashes.verdict(request.print, now) != crash_verdict::refused) {
+        return std::nullopt;
+    }
+    ++shared.quarantined;
+    return error_answer{
+        .status = 503,
+        .reason = {.code = errc::quarantined,
+                   .run = run_state::not_run,
+                   .detail = "upstreams ended while they ran the request"},
+        .retry_after = shared.crashes.refused_for(request.print, now)};
+}
+
 void request_run::start()
 {
     auto const now = options_.shared->now();
     for (auto const* const it : options_.services) {
         options_.shared->budget(*it).count_request(now);
     }
+    if (auto refusal =
+            quarantine_refusal(*options_.shared, *options_.request)) {
+        finish(std::move(*refusal));
+        return;
+    }
     if (!enough_available(now)) {
         answer_failure(refusal_fault());
         return;
     }
-    starting_ = true;
     remaining_hedges_ = static_cast<std::uint32_t>(
         std::ceil(options_.settings->max_hedged_share *
                   static_cast<double>(options_.services.size())));
+    bool const suspect =
+        options_.shared->crashes.verdict(options_.request->print, now) ==
+        crash_verdict::suspect;
+    auto const attempts = options_.attempts.value_or(options_.route->attempts);
     fetches_.reserve(options_.services.size());
     for (auto const* const it : options_.services) {
         fetches_.push_back(
@@ -79,10 +104,12 @@
                 .route = options_.route,
                 .service = it,
                 .request = options_.request,
-                .attempts =
-                    options_.attempts.value_or(options_.route->attempts),
+                .attempts = suspect ? 1 : attempts,
+                .suspect = suspect,
                 .end = options_.end,
                 .remaining_hedges = &remaining_hedges_,
+                .query = gather() ? &query_ : nullptr,
+                .query_id = gather() ? hash_bytes(options_.request->id) : 0,
                 .on_done =
                     [this] {
                         if (!starting_) {
@@ -90,12 +117,52 @@
                         }
                     },
                 .on_timer_changed = options_.on_timer_changed}));
-        fetches_.back()->start();
     }
-    starting_ = false;
+    if (suspect && gather()) {
+        start_first_step(now);
+    }
+    else {
+        start_fetches();
+    }
     finish_if_ready(now);
 }
 
+void request_run::start_fetches()
+{
+    starting_ = true;
+    for (std::size_t i = 0; i < fetches_.size(); ++i) {
+        if (i != first_step_) {
+            fetches_[i]->start();
+        }
+    }
+    starting_ = false;
+    first_step_.reset();
+}
+
+// Sends a query that may have ended upstreams to one shard only.
+void request_run::start_first_step(time_point now)
+{
+    std::size_t n = 0;
+    while (n + 1 < options_.services.size() &&
+           !options_.shared->fleet.available(*options_.services[n], now)) {
+        ++n;
+    }
+    first_step_ = n;
+    starting_ = true;
+    fetches_[n]->start();
+    starting_ = false;
+}
+
+void request_run::finish_first_step()
+{
+    auto& first = *fetches_[*first_step_];
+    if (auto const* const failure = failure_of(first)) {
+        answer_failure(failure->fault);
+        return;
+    }
+    start_fetches();
+}
+
 // Reason for a refusal before any attempt.
 fetch_fault request_run::refusal_fault() const
 {
@@ -154,6 +221,12 @@
 
 void request_run::finish_if_ready(time_point now)
 {
+    if (done_) {
+        return;
+    }
+    if (first_step_ && fetches_[*first_step_]->done()) {
+        finish_first_step();
+    }
     if (done_) {
         return;
     }
--- a/src/core/forward/request_run.hpp
+++ b/src/core/forward/request_run.hpp
@@ -13,6 +13,10 @@
 
 namespace snipemill {
 
+// The answer to a request that is refused because it ended upstreams.
+std::optional<error_answer> quarantine_refusal(fetch_context& shared,
+                                               forward_request const& request);
+
 struct request_run_settings
 {
     // Share of the objective reserved for the transfer of the answer to the
@@ -82,7 +86,10 @@
     }
     bool enough_available(time_point now) const;
     fetch_fault refusal_fault() const;
+    void start_fetches();
+    void start_first_step(time_point now);
     void finish_if_ready(time_point now);
+    void finish_first_step();
     void finish_gather_if_ready(time_point now);
     void append_attempts(std::string& out) const;
     bool enough_answers() const;
@@ -102,6 +109,10 @@
     // A merged answer is given at this time if enough shards have answered.
     time_point partial_answer_at_{};
     std::uint32_t remaining_hedges_ = 0;
+    query_attempts query_;
+    // Number of the only fetch that has been started: the query is a suspect,
+    // and the other fetches start when this one is answered.
+    std::optional<std::size_t> first_step_;
     bool starting_ = false;
     bool done_ = false;
 };
--- a/src/core/forward/service_fetch.cpp
+++ b/src/core/forward/service_fetch.cpp
@@ -13,6 +13,10 @@
 // Limit of attempts that got no connection; attempt_count_ leaves them out.
 constexpr std::uint32_t max_connect_failures = 4;
 
+// Attempts that a query may lose before an upstream has answered it. With more
+// losses the query itself may be the cause, and is sent nowhere else.
+constexpr std::uint32_t max_unexplained_losses = 2;
+
 bool is_success(upstream_answer const& it)
 {
     return it.status >= 200 && it.status < 300;
@@ -43,6 +47,12 @@
         outcome);
 }
 
+// Whether the upstream ran the request.
+bool has_run(upstream_answer const& it)
+{
+    return !it.not_run && !it.wrong_instance;
+}
+
 // Latency of an exchange relative to the mean of its route.
 double relative_latency(route_latency const& latency, duration elapsed)
 {
@@ -51,16 +61,27 @@
                                    : 1.0;
 }
 
+// Whether the exchange ended because of the upstream, which was not expected to
+// stop.
+bool lost_by_upstream(exchange_outcome const& outcome, upstream_view const& it)
+{
+    auto const* const lost = std::get_if<exchange_lost>(&outcome);
+    return lost && !lost->closed_by_host && !it.record.draining;
+}
+
 // The outcome of an abandoned attempt still updates the state of its upstream.
 void record_late_outcome(fetch_context& shared, upstream_view& upstream,
                          route_latency const& latency, time_point start,
-                         exchange_outcome const& outcome)
+                         fingerprint print, exchange_outcome const& outcome)
 {
     auto const now = shared.now();
     auto const relative = relative_latency(latency, now - start);
     std::visit(
         overloaded{[&](upstream_answer const& answer) {
                        shared.fleet.mark_responsive(upstream);
+                       if (has_run(answer)) {
+                           shared.crashes.on_answered(print);
+                       }
                        if (answer.load) {
                            upstream.report(*answer.load, now);
                        }
@@ -110,8 +131,11 @@
 
 upstream_ptr service_fetch::choose(time_point now, choice_failure& why)
 {
-    return options_.shared->fleet.choose(
-        {.service = options_.service, .exclude = &excluded_, .now = now}, why);
+    return options_.shared->fleet.choose({.service = options_.service,
+                                          .exclude = &excluded_,
+                                          .suspect = options_.suspect,
+                                          .now = now},
+                                         why);
 }
 
 void service_fetch::start_attempt(upstream_ptr const& upstream, time_point now)
@@ -121,17 +145,28 @@
     ++attempt_count_;
     ++possible_runs_;
     upstream->sent(now);
+    upstream->open_suspects += options_.suspect ? 1 : 0;
+    if (options_.query) {
+        ++options_.query->open;
+    }
     attempts_.push_back({.upstream = upstream, .start = now});
     attempts_[n].id = options_.shared->exchanges.send(
         upstream, options_.request, options_.end,
         [this, n, upstream, alive = alive_, shared = options_.shared,
          latency = &options_.shared->latencies[options_.route->name],
-         start = now](exchange_outcome outcome) {
+         print = options_.request->print, query_id = options_.query_id,
+         suspect = options_.suspect, start = now](exchange_outcome outcome) {
+            upstream->open_suspects -= suspect ? 1 : 0;
             if (*alive && attempts_[n].open) {
                 on_outcome(n, std::move(outcome));
                 return;
             }
-            record_late_outcome(*shared, *upstream, *latency, start, outcome);
+            if (lost_by_upstream(outcome, *upstream)) {
+                shared->crashes.on_lost(print, lifetime_id(upstream->record),
+                                        query_id, shared->now());
+            }
+            record_late_outcome(*shared, *upstream, *latency, start, print,
+                                outcome);
         });
 }
 
@@ -172,6 +207,10 @@
     }
     if (retry_at_ && now >= *retry_at_) {
         retry_at_.reset();
+        if (held() && options_.query->open > 0) {
+            retry_at_ = now + options_.shared->settings.retry_delay;
+            return;
+        }
         // An upstream that refused may have capacity again, so only those with
         // an open attempt stay excluded.
         excluded_.clear();
@@ -202,9 +241,24 @@
     }
 }
 
+void service_fetch::end_attempt(attempt& it)
+{
+    it.open = false;
+    if (options_.query) {
+        --options_.query->open;
+    }
+}
+
+bool service_fetch::held() const
+{
+    return options_.query && !options_.query->answered &&
+           options_.query->lost >= max_unexplained_losses;
+}
+
 bool service_fetch::may_start_extra_attempt(time_point now) const
 {
-    if (now + options_.shared->settings.min_exchange_time >= options_.end ||
+    if (held() ||
+        now + options_.shared->settings.min_exchange_time >= options_.end ||
         attempt_count_ >= options_.shared->settings.max_attempts ||
         connect_failures_ >= max_connect_failures) {
         return false;
@@ -248,11 +302,19 @@
 void service_fetch::on_outcome(std::size_t n, exchange_outcome outcome)
 {
     auto const now = options_.shared->now();
-    attempts_[n].open = false;
+    end_attempt(attempts_[n]);
     attempts_[n].outcome = outcome_of(outcome);
     attempts_[n].elapsed = now - attempts_[n].start;
     // A copy, since a further attempt may reallocate attempts_.
     auto const it = attempts_[n];
+    if (lost_by_upstream(outcome, *it.upstream)) {
+        options_.shared->crashes.on_lost(options_.request->print,
+                                         lifetime_id(it.upstream->record),
+                                         options_.query_id, now);
+        if (options_.query) {
+            ++options_.query->lost;
+        }
+    }
     std::visit(
         overloaded{
             [&](upstream_answer& answer) {
@@ -286,6 +348,12 @@
                               time_point now)
 {
     options_.shared->fleet.mark_responsive(*it.upstream);
+    if (has_run(answer)) {
+        options_.shared->crashes.on_answered(options_.request->print);
+        if (options_.query) {
+            options_.query->answered = true;
+        }
+    }
     if (answer.load) {
         it.upstream->report(*answer.load, now);
     }
@@ -344,7 +412,8 @@
     }
     bool const refused = failure_.fault == fetch_fault::refused;
     auto const retry_time = now + options_.shared->settings.retry_delay;
-    if (refused && may_start_extra_attempt(retry_time)) {
+    bool const wait_for_others = held() && options_.query->open > 0;
+    if (wait_for_others || (refused && may_start_extra_attempt(retry_time))) {
         retry_at_ = retry_time;
         if (options_.on_timer_changed) {
             options_.on_timer_changed();
@@ -406,7 +475,7 @@
                      : options_.end;
     for (auto& it : attempts_) {
         if (it.open) {
-            it.open = false;
+            end_attempt(it);
             options_.shared->exchanges.release(it.id, close_at);
         }
     }
--- a/src/core/forward/service_fetch.hpp
+++ b/src/core/forward/service_fetch.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/forward/crash_guard.hpp"
 #include "core/forward/exchange.hpp"
 #include "core/forward/manifest.hpp"
 #include "core/forward/retry_budget.hpp"
@@ -54,7 +55,9 @@
     double retry_slack = 0; // of the fleet; 0: use the configured floor
     std::unordered_map<std::string, retry_budget> budgets;    // by service
     std::unordered_map<std::string, route_latency> latencies; // by route
+    crash_guard crashes{crash_guard_options{}};
     std::function<time_point()> now;
+    std::uint64_t quarantined = 0; // requests refused by crashes
     std::uint64_t hedges = 0;
     std::uint64_t retries = 0;
     std::uint64_t budget_refusals = 0;
@@ -105,6 +108,14 @@
     {fetch_fault::lost, "lost"},
 }};
 
+// Attempts of all fetches of one query over many shards.
+struct query_attempts
+{
+    std::uint32_t open = 0;
+    std::uint32_t lost = 0; // ended without an answer
+    bool answered = false;  // an upstream has answered the query
+};
+
 // Outcome of one attempt.
 enum class attempt_outcome : std::uint8_t
 {
@@ -151,9 +162,15 @@
         std::shared_ptr<forward_request const> request;
         // Limit of upstreams that may run the request.
         std::uint32_t attempts = 1;
-        time_point end{}; // deadline of all exchanges
+        bool suspect = false; // of crash_guard
+        time_point end{};     // deadline of all exchanges
         // Hedges that the whole request may still start; null: no limit.
         std::uint32_t* remaining_hedges = nullptr;
+        // Of the query over many shards that this fetch belongs to, and the
+        // query's identification for crash_guard; null and 0 for a request to
+        // one service.
+        query_attempts* query = nullptr;
+        std::uint64_t query_id = 0;
         std::function<void()> on_done;
         std::function<void()> on_timer_changed; // next_timer() became earlier
     };
@@ -203,6 +220,10 @@
                     time_point now);
     void retry_or_finish(time_point now);
     bool may_start_extra_attempt(time_point now) const;
+    // Whether the query may have ended the upstreams that it lost, and no
+    // upstream has shown the contrary by an answer.
+    bool held() const;
+    void end_attempt(attempt& it);
     void schedule_hedge(time_point now);
     void finish(fetch_result result);
     std::size_t open_attempts() const;
--- a/src/core/forward/upstream_fleet.cpp
+++ b/src/core/forward/upstream_fleet.cpp
@@ -14,8 +14,9 @@
 // Latency of a cold upstream over that of a warm one.
 constexpr double cold_latency_factor = 1.6;
 
-// Added to the score of a suspected upstream; above every score that does not
-// contain the penalty.
+// Added to the score of an upstream that is suspected to be unreachable, and
+// for a suspect request to that of one which runs another suspect. Above every
+// score that does not contain the penalty.
 constexpr double suspect_penalty = 1000;
 
 // Share of an upstream's connections that relays may use; the rest is for
@@ -191,8 +192,10 @@
             why = choice_failure::saturated;
             continue;
         }
-        auto const value =
-            score(*it, request.now) + score_jitter * random_.unit();
+        auto value = score(*it, request.now) + score_jitter * random_.unit();
+        if (request.suspect && it->open_suspects > 0) {
+            value += suspect_penalty;
+        }
         if (value < best_score) {
             best = it;
             best_score = value;
--- a/src/core/forward/upstream_fleet.hpp
+++ b/src/core/forward/upstream_fleet.hpp
@@ -57,6 +57,8 @@
 {
     std::string const* service = nullptr;
     std::vector<upstream_ptr> const* exclude = nullptr; // may be null
+    // Prefers upstreams that run no other suspect of crash_guard.
+    bool suspect = false;
     time_point now{};
 };
 
--- a/src/core/forward/upstream_view.hpp
+++ b/src/core/forward/upstream_view.hpp
@@ -40,6 +40,8 @@
     // In the subset of replicas that this host keeps connections to.
     bool in_subset = true;
     reachability reach = reachability::unknown;
+    // Open exchanges of requests that crash_guard suspects.
+    std::uint32_t open_suspects = 0;
     time_point cold_until{};
 
     void sent(time_point now);
--- a/src/ports/store_port.hpp
+++ b/src/ports/store_port.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/base/name_table.hpp"
+#include "core/forward/crash_guard.hpp"
 #include "core/forward/manifest.hpp"
 #include "core/forward/relay_plan.hpp"
 #include "core/forward/upstream_record.hpp"
@@ -20,14 +21,16 @@
     manifests,   // the newest state of routes and services
     upstreams,   // one entry for each upstream, written by itself
     evacuations, // data centres that are to get no requests
-    hosts        // one entry for each host of the fleet, written by itself
+    hosts,       // one entry for each host of the fleet, written by itself
+    crashes      // upstreams that ended while they ran a request
 };
 
-inline constexpr name_table<store_kind, 4> store_kind_names{{
+inline constexpr name_table<store_kind, 5> store_kind_names{{
     {store_kind::manifests, "manifests"},
     {store_kind::upstreams, "upstreams"},
     {store_kind::evacuations, "evacuations"},
     {store_kind::hosts, "hosts"},
+    {store_kind::crashes, "crashes"},
 }};
 
 // An entry that another writer has spoilt.
@@ -49,7 +52,7 @@
 
 using store_value =
     std::variant<unreadable_entry, std::shared_ptr<manifest const>,
-                 upstream_record, evacuation_entry, host_entry>;
+                 upstream_record, evacuation_entry, host_entry, crash_entry>;
 
 struct store_entry
 {
@@ -117,6 +120,11 @@
                           bool likely_exists, std::function<void(bool)> f) = 0;
     // Removes the entry of a host. Not answered: the next host tries again.
     virtual void remove_host(std::string name) = 0;
+    // Creates an entry. The callback tells whether the store holds it.
+    virtual void put_crash(crash_entry entry, std::function<void(bool)> f) = 0;
+    // Removes an entry, if there is one. The callback tells whether it is gone.
+    virtual void remove_crash(crash_entry entry,
+                              std::function<void(bool)> f) = 0;
 };
 
 } // namespace snipemill
--- a/standins/fleet/upstream.cpp
+++ b/standins/fleet/upstream.cpp
@@ -2,6 +2,8 @@
 
 #include "platform/names.hpp"
 
+#include <boost/asio/post.hpp>
+
 #include <utility>
 
 namespace standin {
@@ -58,6 +60,13 @@
                                 .instance = options_.instance,
                                 .path = it->path,
                                 .at = std::chrono::steady_clock::now()});
+        if (options_.on_crash &&
+            it->path.find(crash_path) != std::string::npos) {
+            // The callback ends this upstream. The job keeps its connection
+            // open until then.
+            boost::asio::post(io_, [f = options_.on_crash, it] { f(it->id); });
+            continue;
+        }
         std::exponential_distribution<double> distribution(1);
         auto const ms = static_cast<double>(options_.work.count()) *
                         work_factor_ * (0.5 + 0.5 * distribution(random_));
--- a/standins/fleet/upstream.hpp
+++ b/standins/fleet/upstream.hpp
@@ -19,6 +19,8 @@
 
 using steady_time = std::chrono::steady_clock::time_point;
 
+inline constexpr char const* crash_path = "/crash";
+
 // One execution of a request by an upstream.
 struct upstream_run
 {
@@ -41,6 +43,9 @@
     std::size_t queue = 12;
     std::chrono::milliseconds work{4};
     std::size_t records = 6; // number in each answer
+    // Called with the id of a request that ends the upstream: one whose path
+    // contains crash_path.
+    std::function<void(std::string const& id)> on_crash;
 };
 
 // Stand-in of one upstream: runs as many requests at a time as it has slots,
--- a/tests/app/forward/forward_control_test.cpp
+++ b/tests/app/forward/forward_control_test.cpp
@@ -39,6 +39,16 @@
     {
         removed_hosts.push_back(std::move(name));
     }
+    void put_crash(crash_entry entry, std::function<void(bool)> f) override
+    {
+        put_crashes.push_back(entry);
+        on_crash_change = std::move(f);
+    }
+    void remove_crash(crash_entry entry, std::function<void(bool)> f) override
+    {
+        removed_crashes.push_back(entry);
+        on_crash_change = std::move(f);
+    }
 
     // The callback is moved out first: it makes the next call, which stores a
     // new callback.
@@ -58,6 +68,9 @@
     std::vector<std::string> put_hosts;
     std::vector<std::string> removed_hosts;
     std::function<void(bool)> on_put;
+    std::vector<crash_entry> put_crashes;
+    std::vector<crash_entry> removed_crashes;
+    std::function<void(bool)> on_crash_change;
     std::map<store_kind, int> list_counts;
     std::map<store_kind, read_age> list_ages;
     std::map<store_kind, duration> watch_timeouts;
@@ -217,3 +230,52 @@
         CHECK(wait_list(store_kind::manifests, i + 2));
     }
 }
+
+// Guards against a crash that other hosts, and this one after a restart, never
+// learn of because the store was unavailable when it was seen.
+TEST(forward_control, a_crash_is_saved_again_until_the_store_holds_it)
+{
+    start();
+    crash_entry const entry{
+        .print = fingerprint(5), .upstream = upstream_id(6), .seen_ms = 7};
+    control.save_crash(entry);
+    UNSIGNED_LONGS_EQUAL(1, store.put_crashes.size());
+    store.on_crash_change(false);
+    CHECK(run_until(io, [&] { return store.put_crashes.size() == 2; }));
+    CHECK(store.put_crashes[1] == entry);
+    store.on_crash_change(true);
+    control.on_store_available();
+    UNSIGNED_LONGS_EQUAL(2, store.put_crashes.size());
+}
+
+// Guards against a request that stays refused after it was answered.
+TEST(forward_control, a_cleared_crash_is_removed_from_the_store)
+{
+    start();
+    crash_entry const entry{.print = fingerprint(5),
+                            .upstream = upstream_id(6)};
+    control.save_crash(entry);
+    control.clear_crash(entry);
+    UNSIGNED_LONGS_EQUAL(1, store.removed_crashes.size());
+    CHECK(store.removed_crashes[0] == entry);
+}
+
+// Guards against a host that starts without the crashes that others have seen.
+TEST(forward_control, publishes_the_crashes_of_the_store)
+{
+    start();
+    auto const now_ms = std::chrono::duration_cast<std::chrono::milliseconds>(
+                            std::chrono::system_clock::now().time_since_epoch())
+                            .count();
+    crash_entry const entry{
+        .print = fingerprint(5), .upstream = upstream_id(6), .seen_ms = now_ms};
+    crash_entry const expired{.print = fingerprint(5),
+                              .upstream = upstream_id(7),
+                              .seen_ms = now_ms - 3'600'000};
+    store.complete_list(store_kind::crashes,
+                        store_page{.entries = {{.name = "x", .value = entry},
+                                               {.name = "y", .value = expired}},
+                                   .revision = 10});
+    UNSIGNED_LONGS_EQUAL(1, last_snapshot->crashes.size());
+    CHECK(last_snapshot->crashes[0] == entry);
+}
--- a/tests/core/forward/forward_fixture.hpp
+++ b/tests/core/forward/forward_fixture.hpp
@@ -88,7 +88,12 @@
         }
         update();
     }
-    void update() { fleet.update(records, evacuated, now); }
+    void update()
+    {
+        for (auto const& it : fleet.update(records, evacuated, now).removed) {
+            shared.crashes.on_ended(lifetime_id(it->record), now);
+        }
+    }
     upstream_ptr upstream(std::string const& instance)
     {
         auto const it = std::find_if(
@@ -130,6 +135,7 @@
                          .budget_settings = {},
                          .now = [this] { return now; }};
     request_run_settings settings;
+    int next_id = 1; // of requests
 };
 
 // Runs one request on a route. Time advances only in pass().
@@ -153,8 +159,8 @@
             .state = std::make_shared<manifest const>(),
             .route = &route,
             .services = std::move(services),
-            .request = std::make_shared<forward_request const>(
-                forward_request{.id = "1", .print = print}),
+            .request = std::make_shared<forward_request const>(forward_request{
+                .id = std::to_string(fixture.next_id++), .print = print}),
             .arrival = fixture.now,
             .end = fixture.now + route.timeout,
             .on_answer = [this](caller_answer a) { answer = std::move(a); }});
