Decide what an upstream may get in one module

Load reports, the pace of cold upstreams and draining were decided in three places, each with a state of its own; the new statements of upstreams (limit, leaving, retry later) would have been a fourth. core/forward/upstream_admission now takes all signals of an answer and says when this host may send next. It has no I/O and knows nothing of headers. What it knows of an upstream outlives an entry that lapses while the store is away.

A refusal for lack of room now tells the caller when there is room again, as far as the upstreams say; it was 50 ms in all cases.

--- a/src/adapters/forward/forward_text.cpp
+++ b/src/adapters/forward/forward_text.cpp
@@ -186,7 +186,7 @@
     out.stamp = header_value(from.headers, names.stamp);
     out.wrong_instance = from.status == 421;
     out.not_run = has_header(from.headers, names.not_run);
-    out.load = read_load(header_value(from.headers, names.load));
+    out.signals.load = read_load(header_value(from.headers, names.load));
     auto const connection =
         std::string(header_value(from.headers, "connection"));
     std::erase_if(from.headers, [&](auto const& it) {
--- a/src/adapters/forward/upstream_links.cpp
+++ b/src/adapters/forward/upstream_links.cpp
@@ -80,7 +80,7 @@
 void upstream_links::add(upstream_ptr const& to)
 {
     auto const it = link_of(to);
-    if (!to->record.draining && !to->evacuated && !it->timer_set &&
+    if (!to->leaving() && !to->evacuated && !it->timer_set &&
         it->connecting.empty() && to->in_flight() == 0 && it->idle.empty()) {
         connect(it);
     }
@@ -184,7 +184,7 @@
 void upstream_links::schedule_reconnect(link_ptr const& it)
 {
     auto const& to = *it->to;
-    if (it->timer_set || it->removed || to.record.draining || to.evacuated) {
+    if (it->timer_set || it->removed || to.leaving() || to.evacuated) {
         return;
     }
     it->timer_set = true;
@@ -213,7 +213,7 @@
 {
     auto& to = *it->to;
     if (it->removed || !it->idle.empty() || !it->connecting.empty() ||
-        to.record.draining || to.evacuated) {
+        to.leaving() || to.evacuated) {
         return;
     }
     if (std::exchange(it->check_after_loss, false) || to.in_subset) {
@@ -340,7 +340,7 @@
         }
         return;
     }
-    if (it->removed || it->to->record.draining || it->to->evacuated) {
+    if (it->removed || it->to->leaving() || it->to->evacuated) {
         connection->discard();
         return;
     }
--- a/src/adapters/forward/upstream_links.hpp
+++ b/src/adapters/forward/upstream_links.hpp
@@ -69,7 +69,7 @@
     upstream_links& operator=(upstream_links const&) = delete;
 
     // Preconnects to the upstream, unless a connection is open, being set up
-    // or waiting for a reconnect, or the upstream is draining or evacuated.
+    // or waiting for a reconnect, or the upstream is leaving or evacuated.
     void add(upstream_ptr const& to);
     // Closes the upstream's idle connections. Open exchanges continue.
     void remove(upstream_ptr const& to);
--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -106,6 +106,14 @@
                  })
 {
     fleet_.set_sharing({.hosts = static_cast<double>(settings.hosts)});
+    fleet_.on_admission([](upstream_view const& it, admission_change change) {
+        auto const limit = it.admission.rate_limit();
+        log_info("upstream_signal",
+                 {{"instance", it.record.instance},
+                  {"service", it.record.service},
+                  {"change", name_of(admission_change_names, change)},
+                  {"limit", limit ? std::to_string(*limit) : "none"}});
+    });
     if (settings.relay) {
         relay_service_.emplace(io, *settings.relay, runs_,
                                [this](request_run::options o) {
@@ -140,7 +148,7 @@
     }
     for (auto const& it : changes.removed) {
         links_.remove(it);
-        if (!it->record.draining) {
+        if (!it->leaving()) {
             shared_.crashes.on_ended(lifetime_id(it->record), now);
         }
     }
@@ -187,7 +195,7 @@
     if (reachable) {
         shared_.crashes.on_connected(id);
     }
-    else if (!it.record.draining) {
+    else if (!it.leaving()) {
         shared_.crashes.on_ended(id, core_now());
     }
 }
--- a/src/core/forward/exchange.hpp
+++ b/src/core/forward/exchange.hpp
@@ -25,7 +25,7 @@
     bool not_run = false; // the upstream states that it did not run the request
     // The request names an instance that is not at this address.
     bool wrong_instance = false;
-    std::optional<reported_load> load;
+    upstream_signals signals;
 };
 
 // No byte of the request left this host.
--- a/src/core/forward/request_run.cpp
+++ b/src/core/forward/request_run.cpp
@@ -345,7 +345,27 @@
     finish_with_error(
         503, at_capacity ? errc::upstream_shed : errc::upstream_unreachable,
         run_state::not_run, detail,
-        at_capacity ? settings.retry_saturated : settings.retry_no_upstream);
+        at_capacity ? retry_after_saturation() : settings.retry_no_upstream);
+}
+
+// Time until enough services have room again, as far as their upstreams tell.
+duration request_run::retry_after_saturation() const
+{
+    auto const now = options_.shared->now();
+    std::vector<duration> waits;
+    for (auto const* const it : options_.services) {
+        if (auto const wait = options_.shared->fleet.time_to_room(*it, now)) {
+            waits.push_back(*wait);
+        }
+    }
+    auto const& settings = *options_.settings;
+    auto const needed = gather() ? required_shards(*gather()) : 1;
+    if (waits.size() < needed) {
+        return settings.retry_saturated;
+    }
+    std::sort(waits.begin(), waits.end());
+    return std::clamp(waits[std::max<std::size_t>(1, needed) - 1],
+                      settings.retry_saturated, settings.max_retry_saturated);
 }
 
 void request_run::answer_time_out()
--- a/src/core/forward/request_run.hpp
+++ b/src/core/forward/request_run.hpp
@@ -32,8 +32,10 @@
     double max_hedged_share = 0.34;
     // Retry-After of an error when no upstream is usable.
     duration retry_no_upstream = from_ms(500);
-    // Retry-After when all upstreams are saturated: a few service times.
+    // Retry-After when all upstreams are saturated: a few service times. Longer
+    // when the upstreams have asked for more, up to the maximum.
     duration retry_saturated = from_ms(50);
+    duration max_retry_saturated = from_ms(10'000);
 };
 
 // One request of a caller, from its arrival to the final answer. A request to
@@ -103,6 +105,7 @@
     void finish_with_error(unsigned status, errc code, run_state run,
                            std::string const& detail, duration retry_after);
     void finish(caller_answer answer);
+    duration retry_after_saturation() const;
 
     options options_;
     std::vector<std::unique_ptr<service_fetch>> fetches_;
--- a/src/core/forward/service_fetch.cpp
+++ b/src/core/forward/service_fetch.cpp
@@ -66,7 +66,7 @@
 bool lost_by_upstream(exchange_outcome const& outcome, upstream_view const& it)
 {
     auto const* const lost = std::get_if<exchange_lost>(&outcome);
-    return lost && !lost->closed_by_host && !it.record.draining;
+    return lost && !lost->closed_by_host && !it.leaving();
 }
 
 // The outcome of an abandoned attempt still updates the state of its upstream.
@@ -82,9 +82,8 @@
                        if (has_run(answer)) {
                            shared.crashes.on_answered(print);
                        }
-                       if (answer.load) {
-                           upstream.report(*answer.load, now);
-                       }
+                       shared.fleet.on_answer(upstream, answer.signals, start,
+                                              now);
                        upstream.answered(start, now, relative);
                    },
                    [&](exchange_not_sent const&) { upstream.released(start); },
@@ -354,9 +353,8 @@
             options_.query->answered = true;
         }
     }
-    if (answer.load) {
-        it.upstream->report(*answer.load, now);
-    }
+    options_.shared->fleet.on_answer(*it.upstream, answer.signals, it.start,
+                                     now);
     if (answer.wrong_instance) {
         it.upstream->released(it.start);
         it.upstream->address_reused = true;
--- a/src/core/forward/upstream_fleet.cpp
+++ b/src/core/forward/upstream_fleet.cpp
@@ -19,9 +19,13 @@
 // score that does not contain the penalty.
 constexpr double suspect_penalty = 1000;
 
-// Share of an upstream's connections that relays may use; the rest is for
-// direct runs of hosts that reach no relay.
-constexpr double relay_connection_ratio = 0.8;
+// Part of an upstream's connections, and of its stated limit, that relays may
+// use; the rest is for direct runs of hosts that reach no relay.
+constexpr double relay_ratio = 0.8;
+
+// Time for which an upstream that left the list is remembered. An outage of the
+// store makes entries lapse; running upstreams register again after it.
+constexpr duration departed_lifetime = from_ms(120'000);
 
 // Random addition to a score, which spreads requests over replicas whose scores
 // differ by less.
@@ -65,13 +69,16 @@
             it = old->second;
             previous.erase(old);
             if (it->record != record) {
+                if (it->record.draining && !record.draining) {
+                    it->admission.stay();
+                }
                 it->address_reused = false;
                 it->cold_until = now + record.cold_left;
                 it->record = record;
             }
         }
         else {
-            it = std::make_shared<upstream_view>(record, now);
+            it = add(record, now);
             out.added.push_back(it);
         }
         it->evacuated = evacuated.contains(record.data_centre);
@@ -79,7 +86,7 @@
     }
     for (auto const& [instance, it] : previous) {
         it->listed = false;
-        cold_limiters_.erase(instance);
+        remember_departed(*it, now);
         out.removed.push_back(it);
     }
     all_ = std::move(upstreams);
@@ -87,6 +94,42 @@
     return out;
 }
 
+upstream_ptr upstream_fleet::add(upstream_record const& record, time_point now)
+{
+    auto const it = std::make_shared<upstream_view>(record, now);
+    auto const known = departed_.find(record.instance);
+    if (known != departed_.end() &&
+        same_lifetime(known->second.record, record)) {
+        it->admission = known->second.admission;
+    }
+    else {
+        it->admission = upstream_admission(
+            hash_bytes(record.instance, hash_bytes(settings_.host)));
+    }
+    departed_.erase(record.instance);
+    return it;
+}
+
+void upstream_fleet::remember_departed(upstream_view const& it, time_point now)
+{
+    std::erase_if(departed_, [&](auto const& known) {
+        return now - known.second.at > departed_lifetime;
+    });
+    departed_[it.record.instance] = {
+        .record = it.record, .admission = it.admission, .at = now};
+}
+
+void upstream_fleet::on_answer(upstream_view& it,
+                               upstream_signals const& signals, time_point sent,
+                               time_point now)
+{
+    auto const change =
+        it.admission.on_answer(signals, sent, now, senders(it.record.service));
+    if (change != admission_change::none && on_admission_) {
+        on_admission_(it, change);
+    }
+}
+
 void upstream_fleet::set_services(std::vector<upstream_service> const& services)
 {
     for (auto& [name, entry] : services_) {
@@ -111,8 +154,7 @@
 
 bool upstream_fleet::takes_requests(upstream_view const& it)
 {
-    return it.listed && !it.record.draining && !it.evacuated &&
-           !it.address_reused;
+    return it.listed && !it.leaving() && !it.evacuated && !it.address_reused;
 }
 
 bool upstream_fleet::usable(upstream_view const& it) const
@@ -124,7 +166,7 @@
                               upstream_view const& it, time_point now) const
 {
     return it.in_flight() < connection_limit(it) &&
-           !cold_rate_limited(it, entry.service.cold_rate, now);
+           next_send(entry, it, now) <= now;
 }
 
 std::uint32_t upstream_fleet::connection_limit(upstream_view const& it) const
@@ -140,7 +182,7 @@
     auto share = entry->second.service.max_connections /
                  sending_hosts(it.record.service);
     if (uses_relays(it.record.service)) {
-        share *= relay_connection_ratio;
+        share *= relay_ratio;
     }
     return std::clamp(static_cast<std::uint32_t>(share), 1U,
                       settings_.max_connections);
@@ -150,7 +192,7 @@
 {
     auto const slots = std::max(1U, it.record.slots);
     auto const waiting =
-        std::max<double>(it.in_flight(), it.reported_waiting(now));
+        std::max<double>(it.in_flight(), it.admission.reported_waiting(now));
     auto out = it.latency_ratio(now) * (1 + waiting / slots);
     if (it.cold(now)) {
         out *= cold_latency_factor;
@@ -166,15 +208,41 @@
     return out;
 }
 
-bool upstream_fleet::cold_rate_limited(upstream_view const& it, double rate,
-                                       time_point now) const
+sender_group upstream_fleet::senders(std::string const& service) const
 {
-    if (rate <= 0 || !it.cold(now)) {
-        return false;
+    if (!uses_relays(service)) {
+        return {.hosts = sharing_.hosts};
     }
-    auto const limiter = cold_limiters_.find(it.record.instance);
-    return limiter != cold_limiters_.end() &&
-           now < limiter->second.next_request;
+    // Hosts that reach no relay send directly.
+    return sharing_.relay
+               ? sender_group{.hosts = sharing_.relays, .ratio = relay_ratio}
+               : sender_group{.hosts = sharing_.hosts,
+                              .ratio = 1 - relay_ratio};
+}
+
+time_point upstream_fleet::next_send(service_entry const& entry,
+                                     upstream_view const& it,
+                                     time_point now) const
+{
+    bool const cold = entry.service.cold_rate > 0 && it.cold(now);
+    return it.admission.next_send(now, senders(entry.service.name), cold);
+}
+
+std::optional<duration> upstream_fleet::time_to_room(std::string const& service,
+                                                     time_point now) const
+{
+    auto const entry = services_.find(service);
+    std::optional<duration> out;
+    if (entry == services_.end()) {
+        return out;
+    }
+    for (auto const& it : entry->second.replicas) {
+        if (usable(*it)) {
+            auto const wait = next_send(entry->second, *it, now) - now;
+            out = out ? std::min(*out, wait) : wait;
+        }
+    }
+    return out;
 }
 
 upstream_ptr upstream_fleet::best_of(service_entry const& entry,
@@ -216,12 +284,10 @@
     if (!best) {
         best = best_of(entry->second, request, false, why);
     }
-    auto const rate = entry->second.service.cold_rate;
-    if (best && rate > 0 && best->cold(request.now)) {
-        auto const pause = std::chrono::duration<double>(
-            sending_hosts(best->record.service) / rate);
-        cold_limiters_[best->record.instance].next_request =
-            request.now + std::chrono::duration_cast<duration>(pause);
+    if (best) {
+        auto const rate = entry->second.service.cold_rate;
+        best->admission.on_sent(request.now, senders(*request.service),
+                                best->cold(request.now) ? rate : 0);
     }
     return best;
 }
--- a/src/core/forward/upstream_fleet.hpp
+++ b/src/core/forward/upstream_fleet.hpp
@@ -5,10 +5,12 @@
 #include "core/forward/upstream_view.hpp"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace snipemill {
@@ -105,6 +107,19 @@
     // unreachable or in a suspected data centre.
     bool isolated() const;
 
+    // An answer to a request that was sent at `sent` has arrived.
+    void on_answer(upstream_view& it, upstream_signals const& signals,
+                   time_point sent, time_point now);
+    // Time until the service has room for a request, if its upstreams stay
+    // reachable; none if it has no usable upstream.
+    std::optional<duration> time_to_room(std::string const& service,
+                                         time_point now) const;
+    // Sets what is called when an upstream's signals change what it may get.
+    void
+    on_admission(std::function<void(upstream_view const&, admission_change)> f)
+    {
+        on_admission_ = std::move(f);
+    }
     // Records that an upstream answered or was connected.
     void mark_responsive(upstream_view const& it);
     // Records that an upstream did not answer in the usual time.
@@ -126,9 +141,13 @@
         upstream_service service;
         std::vector<upstream_ptr> replicas;
     };
-    struct cold_limiter
+    // What is kept of an upstream that left the list: its entry may only have
+    // lapsed while the store was unavailable.
+    struct departed_upstream
     {
-        time_point next_request{};
+        upstream_record record;
+        upstream_admission admission;
+        time_point at{};
     };
 
     static bool takes_requests(upstream_view const& it);
@@ -142,8 +161,12 @@
     bool has_room(service_entry const& entry, upstream_view const& it,
                   time_point now) const;
     double score(upstream_view const& it, time_point now) const;
-    bool cold_rate_limited(upstream_view const& it, double rate,
-                           time_point now) const;
+    sender_group senders(std::string const& service) const;
+    // Earliest time at which this host may send to the upstream.
+    time_point next_send(service_entry const& entry, upstream_view const& it,
+                         time_point now) const;
+    upstream_ptr add(upstream_record const& record, time_point now);
+    void remember_departed(upstream_view const& it, time_point now);
     void rebuild_index();
     // Divides the connections of upstreams among hosts. Load pattern: many
     // hosts, few connections. When an upstream accepts fewer connections than
@@ -159,12 +182,13 @@
     upstream_fleet_settings settings_;
     fleet_sharing sharing_;
     rng random_;
+    std::function<void(upstream_view const&, admission_change)> on_admission_;
     std::vector<upstream_ptr> all_;
     std::unordered_map<std::string, service_entry> services_;
     // Unresponsive upstreams by data centre, since the last response from the
     // data centre.
     std::unordered_map<std::string, std::set<std::string>> unresponsive_;
-    std::unordered_map<std::string, cold_limiter> cold_limiters_; // by instance
+    std::unordered_map<std::string, departed_upstream> departed_; // by instance
 };
 
 } // namespace snipemill
--- a/src/core/forward/upstream_view.cpp
+++ b/src/core/forward/upstream_view.cpp
@@ -19,9 +19,6 @@
 // again.
 constexpr duration estimate_half_life = from_ms(1500);
 
-// A load report is outdated after a few service times.
-constexpr duration load_lifetime = from_ms(100);
-
 double decay(duration age)
 {
     return std::exp2(-to_ms(std::max(age, duration::zero())) /
@@ -94,12 +91,6 @@
     last_response_at_ = now;
 }
 
-void upstream_view::report(reported_load const& load, time_point now)
-{
-    load_ = load;
-    load_at_ = now;
-}
-
 duration upstream_view::unresponsive_for(time_point now) const
 {
     if (pending_.empty()) {
@@ -119,9 +110,4 @@
     return failure_rate_ * decay(now - failure_rate_at_);
 }
 
-double upstream_view::reported_waiting(time_point now) const
-{
-    return now - load_at_ < load_lifetime ? load_.waiting : 0;
-}
-
 } // namespace snipemill
--- a/src/core/forward/upstream_view.hpp
+++ b/src/core/forward/upstream_view.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/forward/upstream_admission.hpp"
 #include "core/forward/upstream_record.hpp"
 
 #include <cstdint>
@@ -8,14 +9,6 @@
 
 namespace snipemill {
 
-// Load that an upstream reported: requests that run and that wait.
-struct reported_load
-{
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    std::uint32_t slots = 0;
-};
-
 // Result of the last attempt to connect to an upstream.
 enum class reachability : std::uint8_t
 {
@@ -43,7 +36,10 @@
     // Open exchanges of requests that crash_guard suspects.
     std::uint32_t open_suspects = 0;
     time_point cold_until{};
+    upstream_admission admission;
 
+    // Whether the upstream is shutting down, by its entry or by its answers.
+    bool leaving() const { return record.draining || admission.leaving(); }
     void sent(time_point now);
     // The exchange that began at `start` ended with an answer. relative_latency
     // is its duration divided by the mean latency of its route.
@@ -57,7 +53,6 @@
     void released(time_point start);
     // A connection was set up.
     void connected(time_point now);
-    void report(reported_load const& load, time_point now);
 
     std::uint32_t in_flight() const
     {
@@ -70,8 +65,6 @@
     double latency_ratio(time_point now) const;
     // Moving average of the failures per answer; decays to 0.
     double failure_rate(time_point now) const;
-    // Waiting requests in the last load report; 0 when the report is outdated.
-    double reported_waiting(time_point now) const;
     bool cold(time_point now) const { return now < cold_until; }
 
 private:
@@ -85,8 +78,6 @@
     time_point latency_ratio_at_{};
     double failure_rate_ = 0;
     time_point failure_rate_at_{};
-    reported_load load_;
-    time_point load_at_{};
 };
 
 using upstream_ptr = std::shared_ptr<upstream_view>;
--- a/tests/adapters/forward/forward_text_test.cpp
+++ b/tests/adapters/forward/forward_text_test.cpp
@@ -115,8 +115,8 @@
     CHECK(out.not_run);
     CHECK_FALSE(out.wrong_instance);
     STRCMP_EQUAL("p", out.stamp.c_str());
-    UNSIGNED_LONGS_EQUAL(3, out.load->running);
-    UNSIGNED_LONGS_EQUAL(8, out.load->slots);
+    UNSIGNED_LONGS_EQUAL(3, out.signals.load->running);
+    UNSIGNED_LONGS_EQUAL(8, out.signals.load->slots);
     UNSIGNED_LONGS_EQUAL(4, out.headers.size());
 }
 
