--- a/src/adapters/forward/forward_text.cpp
+++ b/src/adapters/forward/forward_text.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 #include <utility>
 
@@ -28,6 +29,19 @@
     "upgrade",
     "content-length"};
 
+// Reads a finite number that is not negative.
+std::optional<double> read_decimal(std::string_view text)
+{
+    double out = 0;
+    auto const* const end = text.data() + text.size();
+    auto const [last, ec] = std::from_chars(text.data(), end, out);
+    if (text.empty() || ec != std::errc() || last != end ||
+        !std::isfinite(out) || out < 0) {
+        return std::nullopt;
+    }
+    return out;
+}
+
 bool list_contains(std::string_view list, std::string_view name)
 {
     while (!list.empty()) {
@@ -179,6 +193,15 @@
     return out;
 }
 
+upstream_signals read_signals(header_list const& headers,
+                              forward_headers const& names)
+{
+    upstream_signals out{
+        .load = read_load(header_value(headers, names.load)),
+        .rate_limit = read_decimal(header_value(headers, names.rate_limit))};
+    return out;
+}
+
 upstream_answer read_upstream_answer(http_response&& from,
                                      forward_headers const& names)
 {
@@ -186,7 +209,7 @@
     out.stamp = header_value(from.headers, names.stamp);
     out.wrong_instance = from.status == 421;
     out.not_run = has_header(from.headers, names.not_run);
-    out.signals.load = read_load(header_value(from.headers, names.load));
+    out.signals = read_signals(from.headers, names);
     auto const connection =
         std::string(header_value(from.headers, "connection"));
     std::erase_if(from.headers, [&](auto const& it) {
--- a/src/adapters/forward/forward_text.hpp
+++ b/src/adapters/forward/forward_text.hpp
@@ -26,6 +26,11 @@
 upstream_answer read_upstream_answer(http_response&& from,
                                      forward_headers const& names);
 
+// What the headers of an answer say about the upstream. Values of another form
+// are ignored.
+upstream_signals read_signals(header_list const& headers,
+                              forward_headers const& names);
+
 // Parses "running,waiting,slots". No value when the text has another form.
 std::optional<reported_load> read_load(std::string_view text);
 
--- a/tests/adapters/forward/forward_text_test.cpp
+++ b/tests/adapters/forward/forward_text_test.cpp
@@ -11,6 +11,7 @@
                           .stamp = "x-proof",
                           .expected_instance = "x-instance",
                           .load = "x-load",
+                          .rate_limit = "x-limit",
                           .not_run = "x-not-run",
                           .shard_stamps = "x-proofs",
                           .missing_shards = "x-missing"};
@@ -120,6 +121,23 @@
     UNSIGNED_LONGS_EQUAL(4, out.headers.size());
 }
 
+// Guards against an upstream's stated limit that nobody reads, and against
+// taking a spoilt value for a limit.
+TEST(forward_text, reads_the_limit_that_an_upstream_states)
+{
+    auto const limit = [this](std::string const& value) {
+        return read_upstream_answer(
+                   {.status = 200, .headers = {{"x-limit", value}}}, names)
+            .signals.rate_limit;
+    };
+    CHECK(limit("12.5") == 12.5);
+    CHECK(limit("0") == 0.0);
+    for (auto const* const it :
+         {"", "x", "-1", "nan", "inf", "1e999", "5 per second"}) {
+        CHECK_FALSE(limit(it).has_value());
+    }
+}
+
 TEST(forward_text, reads_only_a_whole_load)
 {
     for (auto const* const it : {"", "1", "1,2", "1,2,", "1,2,3,", "1, 2,3",
