Send nothing more to an upstream that says it is leaving

The header was not decoded, so that a host which was late to learn of the entry in the store went on sending.

--- a/src/adapters/forward/forward_headers.hpp
+++ b/src/adapters/forward/forward_headers.hpp
@@ -13,6 +13,7 @@
     std::string expected_instance; // the only instance that may run the request
     std::string load;              // "running,waiting,slots" of the upstream
     std::string rate_limit; // requests/s that the upstream takes from all hosts
+    std::string leaving;    // "1" while the upstream is shutting down
     std::string not_run;    // present when the request was not run
     std::string shard_stamps;   // stamps of the merged shard answers
     std::string missing_shards; // number of shards without an answer
--- a/src/adapters/forward/forward_text.cpp
+++ b/src/adapters/forward/forward_text.cpp
@@ -198,7 +198,8 @@
 {
     upstream_signals out{
         .load = read_load(header_value(headers, names.load)),
-        .rate_limit = read_decimal(header_value(headers, names.rate_limit))};
+        .rate_limit = read_decimal(header_value(headers, names.rate_limit)),
+        .leaving = header_value(headers, names.leaving) == "1"};
     return out;
 }
 
--- a/tests/adapters/forward/forward_text_test.cpp
+++ b/tests/adapters/forward/forward_text_test.cpp
@@ -12,6 +12,7 @@
                           .expected_instance = "x-instance",
                           .load = "x-load",
                           .rate_limit = "x-limit",
+                          .leaving = "x-leaving",
                           .not_run = "x-not-run",
                           .shard_stamps = "x-proofs",
                           .missing_shards = "x-missing"};
@@ -138,6 +139,20 @@
     }
 }
 
+// Guards against sending requests to an upstream that announces its end in its
+// answers only, or whose entry in the store is late.
+TEST(forward_text, reads_that_an_upstream_is_leaving)
+{
+    auto const leaving = [this](std::string const& value) {
+        return read_upstream_answer(
+                   {.status = 200, .headers = {{"x-leaving", value}}}, names)
+            .signals.leaving;
+    };
+    CHECK(leaving("1"));
+    CHECK_FALSE(leaving("0"));
+    CHECK_FALSE(leaving(""));
+}
+
 TEST(forward_text, reads_only_a_whole_load)
 {
     for (auto const* const it : {"", "1", "1,2", "1,2,", "1,2,3,", "1, 2,3",
