--- a/src/adapters/forward/forward_text.cpp
+++ b/src/adapters/forward/forward_text.cpp
@@ -29,6 +29,11 @@
     "upgrade",
     "content-length"};
 
+constexpr unsigned service_unavailable = 503;
+
+// Longer times do not fit into a duration.
+constexpr double max_retry_after_s = 86'400;
+
 // Reads a finite number that is not negative.
 std::optional<double> read_decimal(std::string_view text)
 {
@@ -193,13 +198,19 @@
     return out;
 }
 
-upstream_signals read_signals(header_list const& headers,
+upstream_signals read_signals(unsigned status, header_list const& headers,
                               forward_headers const& names)
 {
     upstream_signals out{
         .load = read_load(header_value(headers, names.load)),
         .rate_limit = read_decimal(header_value(headers, names.rate_limit)),
         .leaving = header_value(headers, names.leaving) == "1"};
+    if (status == service_unavailable) {
+        if (auto const s = read_decimal(header_value(headers, "retry-after"))) {
+            out.retry_after = std::chrono::duration_cast<duration>(
+                std::chrono::duration<double>(std::min(*s, max_retry_after_s)));
+        }
+    }
     return out;
 }
 
@@ -210,7 +221,7 @@
     out.stamp = header_value(from.headers, names.stamp);
     out.wrong_instance = from.status == 421;
     out.not_run = has_header(from.headers, names.not_run);
-    out.signals = read_signals(from.headers, names);
+    out.signals = read_signals(from.status, from.headers, names);
     auto const connection =
         std::string(header_value(from.headers, "connection"));
     std::erase_if(from.headers, [&](auto const& it) {
--- a/src/adapters/forward/forward_text.hpp
+++ b/src/adapters/forward/forward_text.hpp
@@ -28,7 +28,7 @@
 
 // What the headers of an answer say about the upstream. Values of another form
 // are ignored.
-upstream_signals read_signals(header_list const& headers,
+upstream_signals read_signals(unsigned status, header_list const& headers,
                               forward_headers const& names);
 
 // Parses "running,waiting,slots". No value when the text has another form.
--- a/tests/adapters/forward/forward_text_test.cpp
+++ b/tests/adapters/forward/forward_text_test.cpp
@@ -153,6 +153,26 @@
     CHECK_FALSE(leaving(""));
 }
 
+// Guards against sending requests to an upstream that has asked to be left
+// alone, and against times that do not fit or are none.
+TEST(forward_text, reads_how_long_an_upstream_wants_no_requests)
+{
+    auto const wait = [this](unsigned status, std::string const& value) {
+        return read_upstream_answer(
+                   {.status = status, .headers = {{"retry-after", value}}},
+                   names)
+            .signals.retry_after;
+    };
+    CHECK(wait(503, "3") == from_ms(3000));
+    CHECK(wait(503, "0.25") == from_ms(250));
+    CHECK(wait(503, "1e300") > from_ms(1000));
+    CHECK_FALSE(wait(200, "3").has_value());
+    for (auto const* const it :
+         {"", "x", "-1", "nan", "Fri, 31 Dec 1999 23:59:59 GMT"}) {
+        CHECK_FALSE(wait(503, it).has_value());
+    }
+}
+
 TEST(forward_text, reads_only_a_whole_load)
 {
     for (auto const* const it : {"", "1", "1,2", "1,2,", "1,2,3,", "1, 2,3",
