--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -181,3 +181,87 @@
     UNSIGNED_LONGS_EQUAL(0, it.host.relay_port);
     UNSIGNED_LONGS_EQUAL(5, it.renewed_ms);
 }
+
+namespace {
+
+// Entries of other writers that cannot be decoded.
+std::vector<std::string> odd_specs()
+{
+    auto const nested = std::string(5000, '[') + "1" + std::string(5000, ']');
+    return {
+        R"({"backend": )" + nested + "}",
+        nested,
+        "1e99999",
+        replaced(upstream_text, "1500", "1" + std::string(400, '0')),
+        replaced(upstream_text, "1500", "1e999999999"),
+        replaced(upstream_text, "\"max_concurrency\": 2",
+                 "\"max_concurrency\": 99999999999999999999999"),
+        replaced(upstream_text, "8080", "80800"),
+        replaced(upstream_text, "8080", "99999999999999999999"),
+        replaced(upstream_text, "\"s1\"", "\"s\xff\xfe\""),
+        replaced(upstream_text, "\"s1\"", "\"s\\ud800\""),
+    };
+}
+
+} // namespace
+
+// Guards against one odd entry that hides all other entries of a listing, so
+// that a host follows the list no longer, or that ends the host.
+TEST(documents, an_odd_entry_hides_no_other_entry)
+{
+    for (auto const& spec : odd_specs()) {
+        auto const text = R"({"items": [{"meta": {"name": "odd"}, "spec": )" +
+                          spec + R"(}, {"meta": {"name": "good"}, "spec": )" +
+                          upstream_text +
+                          R"(}], "truncated": true, "store_revision": 9})";
+        auto const out = decode_page(store_kind::upstreams, text);
+        CHECK(out.has_value());
+        UNSIGNED_LONGS_EQUAL(9, out->revision);
+        CHECK(out->truncated);
+        UNSIGNED_LONGS_EQUAL(2, out->entries.size());
+        STRCMP_EQUAL("odd", out->entries[0].name.c_str());
+        STRCMP_EQUAL("good", out->entries[1].name.c_str());
+        CHECK(std::holds_alternative<upstream_record>(out->entries[1].value));
+    }
+}
+
+// The same for the events of a watch. An entry that was good and is odd now
+// names no upstream any more.
+TEST(documents, an_odd_event_hides_no_other_event)
+{
+    for (auto const& spec : odd_specs()) {
+        auto const text =
+            R"({"events": [{"object": {"meta": {"name": "odd"}, "spec": )" +
+            spec +
+            R"(}, "deleted": false}, {"object": {"meta": {"name": "good"},
+                "spec": )" +
+            upstream_text + R"(}, "deleted": true}], "store_revision": 9})";
+        auto const out = decode_events(store_kind::upstreams, text);
+        CHECK(out.has_value());
+        UNSIGNED_LONGS_EQUAL(9, out->revision);
+        UNSIGNED_LONGS_EQUAL(2, out->events.size());
+        STRCMP_EQUAL("odd", out->events[0].entry.name.c_str());
+        STRCMP_EQUAL("good", out->events[1].entry.name.c_str());
+        CHECK(out->events[1].deleted);
+    }
+}
+
+// Guards against times that overflow.
+TEST(documents, a_time_beyond_all_bounds_is_cut)
+{
+    auto const value = decode(store_kind::upstreams, "i-1",
+                              replaced(upstream_text, "1500", "1e300"));
+    auto const* const it = std::get_if<upstream_record>(&value);
+    CHECK(it && it->cold_left > duration::zero());
+    CHECK(it->cold_left < std::chrono::hours(24 * 366));
+}
+
+// Guards against a truncated or foreign text that is taken for a listing.
+TEST(documents, a_text_that_ends_early_is_no_listing)
+{
+    auto const whole = page("i-1", upstream_text);
+    for (std::size_t n = 0; n < whole.size(); ++n) {
+        CHECK_FALSE(
+            decode_page(store_kind::upstreams, whole.substr(0, n)).has_value());
+    }
+}
