Treat a connection that ends after an interim answer as failed

Reported by operators of similar systems: an upstream stopped in the middle of the head of its answer and closed, and callers got a 200 with an empty body.

A head that is cut short fails here already. But when the connection ended right after an interim answer (100), or after a late answer to an earlier request that was skipped, the new parser had seen nothing, and finishing it gave a complete answer with status 200 and no body. On the forwarding path the missing stamp kept such an answer from callers; other users of the connection took it.

Test: http_client.a_head_cut_short_is_no_answer failed before, in the case of the interim answer.

--- a/src/adapters/http/client_connection.cpp
+++ b/src/adapters/http/client_connection.cpp
@@ -313,6 +313,11 @@
         fail(exchange_fault::closed);
         return;
     }
+    // The parser would complete an answer of which it has seen nothing.
+    if (!parser_->got_some()) {
+        fail(exchange_fault::truncated);
+        return;
+    }
     boost::system::error_code ec;
     parser_->put_eof(ec);
     if (ec || !parser_->is_done() || is_foreign()) {
--- a/tests/adapters/http/http_client_test.cpp
+++ b/tests/adapters/http/http_client_test.cpp
@@ -235,3 +235,28 @@
         CHECK(weak.expired());
     }
 }
+
+// Guards against an empty answer with status 200 that no server gave: the
+// server closed in the middle of a head, or after an interim answer.
+TEST(http_client, a_head_cut_short_is_no_answer)
+{
+    start();
+    std::size_t n = 0;
+    for (auto const* const it :
+         {"HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\n",
+          "HTTP/1.1 200 OK\r\nX-A: b\r\n", "HTTP/1.1 20", "H",
+          "HTTP/1.1 100 Continue\r\n\r\n",
+          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"}) {
+        send("/a");
+        CHECK(wait_requests(n, 1));
+        server.peers[n]->send(it);
+        for (int i = 0; i < 20; ++i) {
+            io.restart();
+            io.run_one_for(std::chrono::milliseconds(1));
+        }
+        server.peers[n]->half_close();
+        ++n;
+        CHECK(wait_results(n));
+        CHECK(std::holds_alternative<http_failed>(results[n - 1]));
+    }
+}
