End answers of upstreams that have no end

A head ended at 64 KB and a body at 16 MB before. Without a bound were the size line of a chunk, which the parser leaves in the buffer, interim answers, and the number of bodies: twenty of 16 MB take more memory than a host has.

What the parser has not taken is now bounded by 64 KB, skipped answers by 16, and answers that are being received by 32 MB together: beyond that those over 1 MB are ended. The exchange counts as lost, since the request may have run.

Tests: upstream_links.ends_an_answer_without_end failed before; .bounds_the_memory_of_all_bodies_together is new with the bound.

--- a/src/adapters/forward/upstream_links.cpp
+++ b/src/adapters/forward/upstream_links.cpp
@@ -44,7 +44,9 @@
                                reach_callback on_reach)
     : io_(io), fleet_(fleet), names_(names), settings_(settings),
       now_(std::move(now)), on_reach_(std::move(on_reach)), release_timer_(io)
-{}
+{
+    memory_->limit = settings_.max_total_answer_bytes;
+}
 
 upstream_links::~upstream_links()
 {
@@ -123,6 +125,7 @@
     auto const connection =
         std::make_shared<client_connection>(io_, settings_.max_answer_bytes);
     connection->limit_silence(settings_.silence_limit);
+    connection->limit_memory(memory_);
     it->connecting.push_back(connection);
     connection->connect(
         {address, it->to->record.port}, settings_.connect_timeout,
--- a/src/adapters/forward/upstream_links.hpp
+++ b/src/adapters/forward/upstream_links.hpp
@@ -41,6 +41,9 @@
     // nor TCP keep-alive probes for this long.
     duration silence_limit = from_ms(2000);
     std::size_t max_answer_bytes = 16 * 1024 * 1024;
+    // Of all answers that are being received. The smallest hosts have 160 MB,
+    // and a string may take twice its size while it grows.
+    std::size_t max_total_answer_bytes = 32 * 1024 * 1024;
 };
 
 struct link_counters
@@ -82,6 +85,8 @@
 
     std::size_t open_exchanges() const { return exchanges_.size(); }
     link_counters const& counters() const { return counters_; }
+    // Bytes of answers that are being received.
+    std::size_t answer_bytes() const { return memory_->used; }
 
 private:
     using connection_ptr = std::shared_ptr<client_connection>;
@@ -157,6 +162,7 @@
     time_point release_at_ = time_point::max(); // expiry of release_timer_
     exchange_id next_id_ = 1;
     link_counters counters_;
+    std::shared_ptr<answer_memory> memory_ = std::make_shared<answer_memory>();
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/adapters/http/client_connection.cpp
+++ b/src/adapters/http/client_connection.cpp
@@ -23,6 +23,9 @@
 
 constexpr std::uint32_t max_answer_header = 64 * 1024;
 
+// Interim answers and late answers to earlier requests before the answer.
+constexpr std::uint32_t max_skipped_answers = 16;
+
 // Header values can come from another host. Control characters would end the
 // header line, so they are left out.
 void append_value(std::string& out, std::string_view value)
@@ -166,6 +169,7 @@
     head_ = head;
     sent_ = false;
     answer_started_ = false;
+    skipped_ = 0;
     request_ = std::move(request);
     on_result_ = std::move(f);
     begin_parser();
@@ -253,7 +257,8 @@
     auto const room = buffer_.prepare(n);
     buffer_.commit(asio::buffer_copy(room, asio::buffer(input_, n)));
     boost::system::error_code ec;
-    if (!feed(ec)) {
+    if (!within_bounds(n) || !feed(ec) || skipped_ > max_skipped_answers ||
+        buffer_.size() > max_answer_header) {
         fail(exchange_fault::malformed);
         return;
     }
@@ -303,10 +308,31 @@
     if (parser_->get().result_int() >= 200 && !is_foreign()) {
         return false;
     }
+    ++skipped_;
     begin_parser();
     return true;
 }
 
+// Counts received bytes. Returns false when the answer uses too much of the
+// shared memory.
+bool client_connection::within_bounds(std::size_t n)
+{
+    if (!memory_) {
+        return true;
+    }
+    received_ += n;
+    memory_->used += n;
+    return memory_->used <= memory_->limit || received_ <= memory_->small;
+}
+
+void client_connection::release_memory()
+{
+    if (memory_) {
+        memory_->used -= received_;
+        received_ = 0;
+    }
+}
+
 void client_connection::on_end_of_input()
 {
     if (!answer_started_) {
@@ -348,6 +374,7 @@
                                     std::string(field.value()));
     }
     ++exchanges_;
+    release_memory();
     auto const f = std::exchange(on_result_, nullptr);
     if (keep) {
         state_ = state::idle;
@@ -390,6 +417,7 @@
 void client_connection::shut()
 {
     state_ = state::closed;
+    release_memory();
     timer_.cancel();
     boost::system::error_code ignored;
     socket_.close(ignored);
--- a/tests/adapters/forward/upstream_links_test.cpp
+++ b/tests/adapters/forward/upstream_links_test.cpp
@@ -64,6 +64,14 @@
                    server.peers[peer]->has("x-id: " + id + "\r\n");
         });
     }
+    void pass(std::chrono::milliseconds time)
+    {
+        auto const end = std::chrono::steady_clock::now() + time;
+        while (std::chrono::steady_clock::now() < end) {
+            io.restart();
+            io.run_one_for(std::chrono::milliseconds(2));
+        }
+    }
     bool wait_outcomes(std::size_t n)
     {
         return run_until(io, [&] { return outcomes.size() == n; });
@@ -261,3 +269,63 @@
     // Connections at 0, 100, 300, 700 and 1500 ms.
     CHECK(closed >= 4 && closed <= 5);
 }
+
+// Guards against memory that grows for as long as a faulty upstream sends: in a
+// head, in the size line or the trailer of a chunk, or in interim answers.
+TEST(upstream_links, ends_an_answer_without_end)
+{
+    std::size_t n = 0;
+    for (auto const& [first, more] :
+         std::vector<std::pair<std::string, std::string>>{
+             {"HTTP/1.1 200 OK\r\n", "x-filler: aaaaaaaaaaaaaaaaaaaaaaaa\r\n"},
+             {"HTTP/1.1 200 OK\r\nx-filler: ", "aaaaaaaaaaaaaaaaaaaaaaaaaa"},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5;a=",
+              "aaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaaa"},
+             {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+              "x-filler: aaaaaaaaaaaaaaaaaaaaaaaa\r\n"},
+             {"", "HTTP/1.1 100 Continue\r\n\r\n"}}) {
+        if (n == 0) {
+            start();
+        }
+        send("1");
+        CHECK(wait_request("1", n));
+        auto& peer = *server.peers[n];
+        ++n;
+        peer.send(first);
+        std::string block;
+        while (block.size() < 32 * 1024) {
+            block += more;
+        }
+        bool ended = false;
+        for (int i = 0; i < 16 && !ended; ++i) {
+            peer.send(block);
+            pass(std::chrono::milliseconds(50));
+            ended = outcomes.size() == n;
+        }
+        CHECK(ended);
+        CHECK(std::holds_alternative<exchange_lost>(outcomes[n - 1]));
+    }
+}
+
+// Guards against several bodies without end that together use up the memory of
+// the host.
+TEST(upstream_links, bounds_the_memory_of_all_bodies_together)
+{
+    start();
+    constexpr std::size_t count = 6;
+    for (std::size_t i = 0; i < count; ++i) {
+        send(std::to_string(i));
+        CHECK(wait_request(std::to_string(i), i));
+        server.peers[i]->send("HTTP/1.1 200 OK\r\nx-proof: p\r\n\r\n");
+    }
+    std::string const block(1024 * 1024, 'a');
+    for (int mb = 0; mb < 12; ++mb) {
+        for (std::size_t i = 0; i < count; ++i) {
+            server.peers[i]->send(block);
+        }
+        pass(std::chrono::milliseconds(60));
+    }
+    CHECK_COMPARE(outcomes.size(), >=, 1U);
+    CHECK(std::holds_alternative<exchange_lost>(outcomes[0]));
+    CHECK_COMPARE(links->answer_bytes(), <=, 50U * 1024 * 1024);
+}
