Ignore relayed queries without a fingerprint when counting crashes

During an update, hosts of the version before relay queries without their fingerprints; all of them would count as one request, and requests that nothing speaks against could become suspects.

--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -59,16 +59,7 @@
     std::size_t served() const { return served_; }
 
 private:
-    void check_fan_out(request_outcome const& it);
-    void check_single(request_outcome const& it);
-    void check_retry_budget();
-    bool settled(host const& it, steady_time now) const;
-
-    test_fleet& fleet_;
-    std::size_t completed_ = 0;
-    std::size_t served_ = 0;
-    std::set<std::string> not_run_; // ids answered as not run
-    std::set<std::string> non_idempotent_;
+    // A request that ends upstreams, however often it is sent.
     struct crashing_request
     {
         std::size_t crashes = 0;
@@ -80,6 +71,17 @@
         std::string path;
         host const* to = nullptr;
     };
+
+    void check_fan_out(request_outcome const& it);
+    void check_single(request_outcome const& it);
+    void check_retry_budget();
+    bool settled(host const& it, steady_time now) const;
+
+    test_fleet& fleet_;
+    std::size_t completed_ = 0;
+    std::size_t served_ = 0;
+    std::set<std::string> not_run_; // ids answered as not run
+    std::set<std::string> non_idempotent_;
     std::map<std::string, crashing_request> crashing_;          // by path
     std::map<std::string, crashing_attempt> crashing_attempts_; // by id
     std::map<std::string, std::vector<steady_time>>
--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -32,8 +32,8 @@
 constexpr duration host_watch_timeout = from_ms(20'000);
 constexpr duration host_batch_delay = from_ms(500);
 
-// The store has no history of this kind to lose unnoticed: kinds with short
-// watches notice it and relist all kinds.
+// When the store drops its history, the shorter watches of other kinds notice
+// it, and all kinds are listed again.
 constexpr duration crash_watch_timeout = from_ms(20'000);
 
 // Entries of crashes older than this are removed.
@@ -197,16 +197,14 @@
 
 void forward_control::send_crash_changes()
 {
-    bool waiting = false;
     // A copy, because a call that is refused at once changes the list.
     auto const changes = crash_changes_;
     for (auto const& it : changes) {
         if (!it.sent) {
             send_crash_change(it.entry);
         }
-        waiting = true;
     }
-    if (!waiting || draining_) {
+    if (crash_changes_.empty() || draining_) {
         return;
     }
     crash_timer_.expires_after(crash_retry_delay);
--- a/src/app/forward/forward_control.hpp
+++ b/src/app/forward/forward_control.hpp
@@ -60,6 +60,14 @@
         bool timer_armed = false;
     };
 
+    // A change of a crash entry that the store has not confirmed.
+    struct crash_change
+    {
+        crash_entry entry;
+        bool add = true;
+        bool sent = false; // a call is under way
+    };
+
     void call(watcher& it);
     void on_listed(watcher& it, std::variant<store_page, store_error> result);
     void on_watched(watcher& it,
@@ -88,13 +96,6 @@
     fleet_host host_;
     boost::asio::steady_timer expiry_timer_;
     boost::asio::steady_timer renewal_timer_;
-    // Changes that the store has not confirmed.
-    struct crash_change
-    {
-        crash_entry entry;
-        bool add = true;
-        bool sent = false; // a call is under way
-    };
     std::vector<crash_change> crash_changes_;
     boost::asio::steady_timer crash_timer_;
     duration max_batch_delay_; // for upstreams
--- a/src/core/forward/crash_guard.cpp
+++ b/src/core/forward/crash_guard.cpp
@@ -24,6 +24,10 @@
 void crash_guard::on_lost(fingerprint print, upstream_id upstream,
                           std::uint64_t run, time_point now)
 {
+    // A host of an older version relays queries without their fingerprints.
+    if (print == fingerprint()) {
+        return;
+    }
     expire(now);
     unconfirmed_loss const it{
         .print = print, .upstream = upstream, .run = run, .at = now};
--- a/src/core/forward/request_run.hpp
+++ b/src/core/forward/request_run.hpp
@@ -108,11 +108,11 @@
     duration retry_after_saturation() const;
 
     options options_;
+    query_attempts query_; // used by fetches_
     std::vector<std::unique_ptr<service_fetch>> fetches_;
     // A merged answer is given at this time if enough shards have answered.
     time_point partial_answer_at_{};
     std::uint32_t remaining_hedges_ = 0;
-    query_attempts query_;
     // Number of the only fetch that has been started: the query is a suspect,
     // and the other fetches start when this one is answered.
     std::optional<std::size_t> first_step_;
