--- a/src/core/forward/upstream_fleet.cpp
+++ b/src/core/forward/upstream_fleet.cpp
@@ -96,7 +96,7 @@
 
 upstream_ptr upstream_fleet::add(upstream_record const& record, time_point now)
 {
-    auto const it = std::make_shared<upstream_view>(record, now);
+    auto it = std::make_shared<upstream_view>(record, now);
     auto const known = departed_.find(record.instance);
     if (known != departed_.end() &&
         same_lifetime(known->second.record, record)) {
