--- a/src/adapters/http/server_core.cpp
+++ b/src/adapters/http/server_core.cpp
@@ -47,6 +47,9 @@
         return;
     }
     it->start();
+    if (draining_) {
+        it->drain();
+    }
 }
 
 void server_core::remove(std::shared_ptr<server_connection> const& connection)
--- a/src/adapters/net/accept_loop.cpp
+++ b/src/adapters/net/accept_loop.cpp
@@ -38,6 +38,11 @@
     acceptor_.async_accept(
         [self = shared_from_this()](boost::system::error_code ec,
                                     tcp::socket socket) {
+            // drain() may have closed the listening socket after this
+            // connection was accepted and before this handler ran.
+            if (!ec && !self->stopped_) {
+                self->handler_(std::move(socket));
+            }
             if (!self->acceptor_.is_open()) {
                 return;
             }
@@ -45,7 +50,6 @@
                 self->accept_later();
                 return;
             }
-            self->handler_(std::move(socket));
             self->accept();
         });
 }
@@ -76,10 +80,16 @@
 void accept_loop::drain()
 {
     accept_pending();
-    stop();
+    close();
 }
 
 void accept_loop::stop()
+{
+    stopped_ = true;
+    close();
+}
+
+void accept_loop::close()
 {
     boost::system::error_code ignored;
     acceptor_.close(ignored);
--- a/src/adapters/net/accept_loop.hpp
+++ b/src/adapters/net/accept_loop.hpp
@@ -25,6 +25,7 @@
     // Passes on the connections that the kernel has already accepted, then
     // closes the listening socket, which would have reset them.
     void drain();
+    // Closes the listening socket and passes on no further connection.
     void stop();
 
     std::uint16_t port() const { return port_; }
@@ -33,12 +34,14 @@
     void accept();
     void accept_later();
     void accept_pending();
+    void close();
 
     boost::asio::io_context& io_;
     boost::asio::ip::tcp::acceptor acceptor_;
     boost::asio::steady_timer retry_;
     handler handler_;
     std::uint16_t port_ = 0;
+    bool stopped_ = false;
 };
 
 } // namespace snipemill
