--- a/src/core/forward/relayed_run.cpp
+++ b/src/core/forward/relayed_run.cpp
@@ -182,6 +182,16 @@
     }
 }
 
+void relayed_run::time_out()
+{
+    if (direct_) {
+        direct_->time_out();
+        return;
+    }
+    finish_with_error(504, errc::deadline_exceeded,
+                      "request deadline exceeded");
+}
+
 std::optional<time_point> relayed_run::next_timer() const
 {
     if (done_) {
@@ -204,8 +214,7 @@
         return;
     }
     if (now >= options_.direct.end) {
-        finish_with_error(504, errc::deadline_exceeded,
-                          "request deadline exceeded");
+        time_out();
         return;
     }
     if (accept_deadline_ && now >= *accept_deadline_) {
@@ -256,12 +265,28 @@
                                    .detail = std::move(detail)}});
 }
 
+// A relay that did not accept the query in time may have run it all the same,
+// although the one that refused it has not.
+void relayed_run::correct_refusal(caller_answer& answer) const
+{
+    auto* const error = std::get_if<error_answer>(&answer);
+    if (error && error->reason.run == run_state::not_run &&
+        ambiguous_relays_ > 0) {
+        *error = {.status = error->status == 504 ? 504U : 502U,
+                  .reason = {.code = error->reason.code,
+                             .run = run_state::unknown,
+                             .detail = "a relay may have run the query; " +
+                                       error->reason.detail}};
+    }
+}
+
 void relayed_run::finish(caller_answer answer)
 {
     if (done_) {
         return;
     }
     done_ = true;
+    correct_refusal(answer);
     end_call();
     options_.direct.on_answer(std::move(answer));
 }
--- a/src/core/forward/relayed_run.hpp
+++ b/src/core/forward/relayed_run.hpp
@@ -35,6 +35,8 @@
     void start();
     // The caller has disconnected; the relay cancels the query.
     void cancel();
+    // Answers as if the deadline had passed.
+    void time_out();
     std::optional<time_point> next_timer() const;
     void on_timer(time_point now);
 
@@ -55,6 +57,8 @@
     void end_call();
     void finish_with_error(unsigned status, errc code, std::string detail);
     void finish(caller_answer answer);
+    // Replaces a refusal that another relay may have made untrue.
+    void correct_refusal(caller_answer& answer) const;
     void record_outcome(std::string_view outcome);
 
     options options_;
--- a/tests/core/forward/relayed_run_test.cpp
+++ b/tests/core/forward/relayed_run_test.cpp
@@ -258,3 +258,57 @@
     advance(from_ms(100));
     CHECK_FALSE(call(0).cancelled);
 }
+
+// A relay that did not accept a query in time may have run it. Guards against a
+// later refusal that tells the caller "not run".
+TEST(relayed_run, a_refusal_after_an_ambiguous_relay_does_not_say_not_run)
+{
+    start();
+    advance(relays.pool.settings().accept_timeout);
+    CHECK(call(0).cancelled);
+    call(1).on_event(relay_answer{
+        .answer = error_answer{
+            .status = 503,
+            .reason = {.code = errc::upstream_shed, .run = run_state::not_run},
+            .retry_after = from_ms(50)}});
+    auto const& error = std::get<error_answer>(*answer);
+    UNSIGNED_LONGS_EQUAL(502, error.status);
+    CHECK(error.reason.run == run_state::unknown);
+    CHECK(error.retry_after == duration::zero());
+}
+
+// The same when the host runs the query itself at last and has no upstream.
+TEST(relayed_run, a_direct_refusal_after_an_ambiguous_relay_is_unknown)
+{
+    route.attempts = 3;
+    start();
+    advance(relays.pool.settings().accept_timeout);
+    f.fleet.update({}, {}, f.now);
+    call(1).on_event(relay_refused{relay_refusal::busy});
+    auto const& error = std::get<error_answer>(*answer);
+    UNSIGNED_LONGS_EQUAL(502, error.status);
+    CHECK(error.reason.run == run_state::unknown);
+}
+
+// Guards against an unknown outcome where no relay can have run the query.
+TEST(relayed_run, a_refusal_without_an_ambiguous_relay_stays_not_run)
+{
+    start();
+    call(0).on_event(relay_lost{.sent = false});
+    call(1).on_event(relay_answer{
+        .answer = error_answer{.status = 503,
+                               .reason = {.code = errc::upstream_shed,
+                                          .run = run_state::not_run}}});
+    UNSIGNED_LONGS_EQUAL(503, status());
+}
+
+// Guards against a host that stops without an answer to a query which its relay
+// still runs.
+TEST(relayed_run, is_answered_when_the_host_ends_its_requests)
+{
+    start();
+    call(0).on_event(relay_accepted{});
+    run->time_out();
+    UNSIGNED_LONGS_EQUAL(504, status());
+    CHECK(call(0).cancelled);
+}
