--- a/src/adapters/http/client_connection.cpp
+++ b/src/adapters/http/client_connection.cpp
@@ -301,6 +301,13 @@
     return it != parser_->get().end() && it->value() != echo_value_;
 }
 
+// Whether the answer is known to belong to the open exchange.
+bool client_connection::is_identified() const
+{
+    return echo_header_.empty() ||
+           parser_->get().find(echo_header_) != parser_->get().end();
+}
+
 // An interim answer (1xx) is followed by the final one, and a late answer to
 // an earlier request by the one to this request.
 bool client_connection::skip_foreign()
@@ -355,9 +362,15 @@
 
 void client_connection::finish()
 {
+    bool const identified = is_identified();
+    if (!identified && exchanges_ > 0) {
+        fail(exchange_fault::malformed);
+        return;
+    }
     // A server may answer before it has read the request; the rest of the
     // request must not become part of the next one.
-    bool const keep = parser_->keep_alive() && buffer_.size() == 0 && !writing_;
+    bool const keep =
+        parser_->keep_alive() && buffer_.size() == 0 && !writing_ && identified;
     auto message = parser_->release();
     http_response answer{.status = message.result_int(),
                          .content_type =
@@ -374,6 +387,7 @@
                                     std::string(field.value()));
     }
     ++exchanges_;
+    echo_header_.clear();
     release_memory();
     auto const f = std::exchange(on_result_, nullptr);
     if (keep) {
--- a/src/adapters/http/client_connection.hpp
+++ b/src/adapters/http/client_connection.hpp
@@ -73,7 +73,9 @@
         memory_ = std::move(memory);
     }
     // Skips answers whose header (lower case) has another value: they belong
-    // to an earlier request. Holds for the next exchange.
+    // to an earlier request. Without that header the answer cannot be told from
+    // a late copy of an earlier one, so it is accepted only as the first of its
+    // connection, which is not reused. Holds for the next exchange.
     void expect_echo(std::string header, std::string value);
     // Sends a written request. Only when usable().
     void exchange(std::string request, bool head,
@@ -119,6 +121,7 @@
     bool feed(boost::system::error_code& ec);
     bool skip_foreign();
     bool is_foreign() const;
+    bool is_identified() const;
     void set_silence_limit();
     void on_end_of_input();
     bool within_bounds(std::size_t n);
--- a/src/adapters/upstream/upstream_entry.cpp
+++ b/src/adapters/upstream/upstream_entry.cpp
@@ -257,6 +257,7 @@
     ++counters_->requests;
     it->connection = connection;
     running_.insert(it);
+    connection->expect_echo("x-request-id", std::to_string(it->id));
     connection->exchange(
         write(*it), false,
         [self = shared_from_this(), it, connection](exchange_result result) {
--- a/standins/common/session.cpp
+++ b/standins/common/session.cpp
@@ -141,6 +141,7 @@
     for (auto const& it : message) {
         out->headers[lower(it.name_string())] = std::string(it.value());
     }
+    request_id_ = out->header("x-request-id");
     out->body = std::move(message.body());
     return out;
 }
@@ -171,6 +172,9 @@
     for (auto const& [name, value] : r.headers) {
         response_.set(name, value);
     }
+    if (!request_id_.empty()) {
+        response_.set("X-Request-Id", request_id_);
+    }
     response_.keep_alive(!r.close);
     response_.body() = std::move(r.body);
     response_.prepare_payload();
--- a/standins/common/session.hpp
+++ b/standins/common/session.hpp
@@ -10,6 +10,7 @@
 
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace standin {
 
@@ -49,6 +50,7 @@
         boost::beast::http::request_parser<boost::beast::http::string_body>>
         parser_;
     boost::beast::http::response<boost::beast::http::string_body> response_;
+    std::string request_id_; // of the open request; repeated in the answer
     char peeked_ = 0;
     kind kind_ = kind::unknown;
     bool waiting_ = false; // a request has no answer yet
--- a/tests/adapters/forward/upstream_links_test.cpp
+++ b/tests/adapters/forward/upstream_links_test.cpp
@@ -120,6 +120,23 @@
     STRCMP_EQUAL("one", body(0).c_str());
 }
 
+// A late copy of an earlier answer that carries no id. Guards against a refusal
+// of an earlier request that is taken for the refusal of this one.
+TEST(upstream_links, an_answer_without_an_id_on_a_used_connection_is_lost)
+{
+    start();
+    send("1");
+    CHECK(wait_request("1"));
+    answer("1", "one");
+    CHECK(wait_outcomes(1));
+    send("2");
+    CHECK(wait_request("2"));
+    server.peers[0]->send("HTTP/1.1 503 Service Unavailable\r\nx-not-run: 1\r\n"
+                          "Content-Length: 0\r\n\r\n");
+    CHECK(wait_outcomes(2));
+    CHECK(std::holds_alternative<exchange_lost>(outcomes[1]));
+}
+
 // Guards against reading extra bytes after an answer as the start of the next
 // answer.
 TEST(upstream_links, drops_a_connection_with_extra_bytes)
--- a/tests/adapters/upstream/upstream_answers_test.cpp
+++ b/tests/adapters/upstream/upstream_answers_test.cpp
@@ -44,7 +44,7 @@
             return !server.peers.empty() &&
                    server.peers[0]->count("POST") == n + 1;
         }));
-        server.peers[0]->send(text);
+        server.peers[0]->send(identified(text, *server.peers[0]));
         CHECK(wait_results(n + 1));
         CHECK(failed(n) == outcome);
     }
@@ -162,7 +162,7 @@
             return !server.peers.empty() &&
                    server.peers[0]->count("POST") == n + 1;
         }));
-        server.peers[0]->send(text);
+        server.peers[0]->send(identified(text, *server.peers[0]));
         CHECK(wait_outcomes(n + 1));
         CHECK(outcomes[n] == outcome);
     }
--- a/tests/adapters/upstream/upstream_cancel_test.cpp
+++ b/tests/adapters/upstream/upstream_cancel_test.cpp
@@ -18,7 +18,7 @@
     auto const control = wait_for("DELETE /requests/" + id + " ");
     CHECK(control != peer);
     control->send(answer("204 No Content"));
-    peer->send(answer("499 Cancelled"));
+    peer->send(identified(answer("499 Cancelled"), *peer));
     CHECK(wait_results(1));
     CHECK(failed(0) == sub_outcome::cancelled);
     settle();
--- a/tests/adapters/upstream/upstream_pool_fixture.hpp
+++ b/tests/adapters/upstream/upstream_pool_fixture.hpp
@@ -34,6 +34,20 @@
     R"( "partitions": [{"id": 3, "documents": 120}]}]})";
 inline std::string const good = answer("200 OK", good_body);
 
+// The id of the last request on a connection, as a header line.
+inline std::string last_id(raw_peer const& peer)
+{
+    auto const from = peer.in.rfind("X-Request-Id: ");
+    CHECK(from != std::string::npos);
+    auto const to = peer.in.find("\r\n", from);
+    return peer.in.substr(from, to + 2 - from);
+}
+// The answer with the id of the last request on a connection.
+inline std::string identified(std::string text, raw_peer const& peer)
+{
+    return text.insert(text.find("\r\n") + 2, last_id(peer));
+}
+
 // What good says.
 inline bool is_good(sub_result const& result)
 {
--- a/tests/adapters/upstream/upstream_pool_test.cpp
+++ b/tests/adapters/upstream/upstream_pool_test.cpp
@@ -28,7 +28,7 @@
         for (auto const& it : server.peers) {
             if (it->count("POST /search") > answered[it.get()]) {
                 ++answered[it.get()];
-                it->send(good);
+                it->send(identified(good, *it));
             }
         }
         return results.size() == 10;
@@ -201,3 +201,55 @@
         LONGS_EQUAL(1, held.use_count());
     }
 }
+
+// Guards against an answer that is passed on to the next caller: the upstream
+// sends a second copy of it when the connection is in use again.
+TEST(upstream_pool, skips_a_late_copy_of_an_earlier_answer)
+{
+    start(1, 2);
+    query();
+    auto const peer = wait_for("POST /search");
+    auto const first =
+        identified(answer("410 Gone", R"({"held": [9]})"), *peer);
+    peer->send(first);
+    CHECK(wait_results(1));
+    query();
+    CHECK(run_until(io, [&] { return peer->count("POST /search") == 2; }));
+    peer->send(first);
+    peer->send(identified(good, *peer));
+    CHECK(wait_results(2));
+    CHECK(is_good(results[1]));
+    LONGS_EQUAL(1, pool->counters().connects);
+}
+
+// The same from an upstream that does not repeat the id of the request. Guards
+// against reuse of a connection on which such a copy may arrive.
+TEST(upstream_pool, does_not_reuse_a_connection_without_ids)
+{
+    start(1, 2);
+    query();
+    wait_for("POST /search")->send(good);
+    CHECK(wait_results(1));
+    query();
+    CHECK(wait_peers(2));
+    CHECK(run_until(io, [&] { return server.peers[1]->has("POST"); }));
+    server.peers[1]->send(good);
+    CHECK(wait_results(2));
+    CHECK(is_good(results[1]));
+}
+
+// Guards against an answer without an id that is taken for the answer to a
+// submit: the copy says that an earlier request did not run.
+TEST(upstream_pool, an_unidentified_answer_leaves_a_submit_unknown)
+{
+    start(1, 2);
+    query();
+    auto const peer = wait_for("POST /search");
+    peer->send(identified(good, *peer));
+    CHECK(wait_results(1));
+    submit();
+    CHECK(run_until(io, [&] { return peer->has("POST /execute"); }));
+    peer->send(answer("503 Service Unavailable"));
+    CHECK(wait_outcomes(1));
+    CHECK(std::holds_alternative<submit_unknown>(outcomes[0]));
+}
