--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -122,12 +122,39 @@
 
 void forward_control::start()
 {
-    for (auto& it : watchers_) {
-        call(*it);
-    }
+    call(*watchers_[0]);
     renew_entry();
 }
 
+// After the manifest, which is read up to date: its revision shows how old the
+// listings of the other kinds are.
+void forward_control::start_other_kinds()
+{
+    if (std::exchange(started_all_kinds_, true)) {
+        return;
+    }
+    for (std::size_t i = 1; i < watchers_.size(); ++i) {
+        watchers_[i]->mirror.require_revision(watchers_[0]->mirror.revision());
+        call(*watchers_[i]);
+    }
+}
+
+// The removal of an entry may reach the store late, after the next process of
+// the host has written its own.
+void forward_control::restore_entry()
+{
+    bool listed = false;
+    watchers_[3]->mirror.for_each([&](std::string const& name, auto const&) {
+        listed = listed || name == host_.name;
+    });
+    bool const lost = std::exchange(entry_seen_, listed) && !listed;
+    if (lost && registered_ && !draining_) {
+        log_info("host_entry_missing", {{"host", host_.name}});
+        registered_ = false;
+        renew_entry();
+    }
+}
+
 void forward_control::renew_entry()
 {
     host_entry const entry{.renewed_ms = wall_clock_ms(), .host = host_};
@@ -302,8 +329,10 @@
     if (auto* const page = std::get_if<store_page>(&result)) {
         it.mirror.on_page(std::move(*page), core_now());
         on_success(it, true, duration::zero());
+        start_other_kinds();
         return;
     }
+    start_other_kinds();
     on_failure(it, std::get<store_error>(result));
 }
 
@@ -364,6 +393,7 @@
 // again, also those with an open watch.
 void forward_control::on_history_gone()
 {
+    started_all_kinds_ = true;
     for (auto& it : watchers_) {
         ++it->epoch;
         it->failures = 0;
@@ -436,6 +466,7 @@
     out->complete = upstreams->mirror.ready() && evacuations->mirror.ready() &&
                     manifest_ != nullptr;
     if (hosts->mirror.ready()) {
+        restore_entry();
         out->hosts = live_hosts();
         auto const n = static_cast<std::int64_t>(out->hosts.size());
         upstreams->batch_delay =
--- a/src/app/forward/forward_control.hpp
+++ b/src/app/forward/forward_control.hpp
@@ -68,6 +68,8 @@
         bool sent = false; // a call is under way
     };
 
+    // Makes the first calls of all kinds but the manifests.
+    void start_other_kinds();
     void call(watcher& it);
     void on_listed(watcher& it, std::variant<store_page, store_error> result);
     void on_watched(watcher& it,
@@ -83,6 +85,7 @@
     void arm_expiry();
     std::vector<fleet_host> live_hosts();
     void renew_entry();
+    void restore_entry();
     void change_crash(crash_entry const& entry, bool add);
     void send_crash_change(crash_entry const& entry);
     void send_crash_changes();
@@ -100,6 +103,8 @@
     boost::asio::steady_timer crash_timer_;
     duration max_batch_delay_; // for upstreams
     bool registered_ = false;  // this host's entry has been written
+    bool entry_seen_ = false;  // the store has shown this host's entry
+    bool started_all_kinds_ = false;
     bool draining_ = false;
     std::shared_ptr<indexed_manifest const> manifest_;
 };
--- a/src/core/forward/store_mirror.cpp
+++ b/src/core/forward/store_mirror.cpp
@@ -25,8 +25,8 @@
 {
     if (listing_) {
         return list_action{.after = after_,
-                           .age = history_lost_ ? read_age::current
-                                                : read_age::may_be_old};
+                           .age = current_listing_ ? read_age::current
+                                                   : read_age::may_be_old};
     }
     return watch_action{.revision = revision_};
 }
@@ -64,6 +64,12 @@
     if (page.truncated && !after_.empty()) {
         return;
     }
+    if (!listed_ && !current_listing_ &&
+        oldest_revision_ < required_revision_) {
+        outdated_ = true;
+        restart_listing();
+        return;
+    }
     auto const until =
         outage_ || !listed_
             ? now + settings_.missing_hold
@@ -76,12 +82,18 @@
         }
     }
     for (auto const& name : missing) {
-        remove(name, until);
+        if (outdated_) {
+            entries_.erase(name);
+        }
+        else {
+            remove(name, until);
+        }
     }
     // The watch from the oldest revision repeats changes that happened between
     // the pages.
     revision_ = oldest_revision_;
-    history_lost_ = false;
+    current_listing_ = false;
+    outdated_ = false;
     listing_ = false;
     listed_ = true;
     outage_ = false;
@@ -108,16 +120,25 @@
     if (failures >= outage_failures) {
         outage_ = true;
     }
+    listed_ = listed_ || outdated_;
     if (error == store_error::history_gone) {
-        history_lost_ = true;
+        restart_listing();
     }
-    if (error == store_error::history_gone || listing_) {
-        listing_ = true;
+    else if (listing_) {
         after_.clear();
         ++generation_;
     }
 }
 
+// Lists again from the first page, up to date.
+void store_mirror::restart_listing()
+{
+    current_listing_ = true;
+    listing_ = true;
+    after_.clear();
+    ++generation_;
+}
+
 bool store_mirror::expire(time_point now)
 {
     return std::erase_if(entries_, [now](auto const& it) {
--- a/src/core/forward/store_mirror.hpp
+++ b/src/core/forward/store_mirror.hpp
@@ -29,8 +29,8 @@
 struct list_action
 {
     std::string after; // last name of the previous page; empty: first page
-    // The first listing may be slightly outdated, because the watch that
-    // follows reports later changes. A listing after lost history has to be
+    // The first listing may be slightly outdated, unless it turns out to be
+    // older than the required revision. A listing after lost history has to be
     // current.
     read_age age = read_age::current;
 };
@@ -58,7 +58,15 @@
     // failures: consecutive failed calls, including this one.
     void on_error(store_error error, std::uint32_t failures);
 
-    // Whether a listing has completed.
+    // A first listing that is older than this revision is followed by a current
+    // one: an outdated copy may contain upstreams and lack evacuations that
+    // this process knew otherwise before a restart.
+    void require_revision(std::uint64_t revision)
+    {
+        required_revision_ = revision;
+    }
+    // Whether a listing has completed that is recent enough, or the store has
+    // failed to give one.
     bool ready() const { return listed_; }
     std::uint64_t revision() const { return revision_; }
     // Removes entries whose hold time is over. Returns whether there were any.
@@ -85,6 +93,7 @@
 
     void put(store_entry&& entry);
     void remove(std::string const& name, time_point until);
+    void restart_listing();
 
     store_mirror_settings settings_;
     std::map<std::string, mirror_entry> entries_;
@@ -92,9 +101,13 @@
     std::uint64_t generation_ = 1;
     std::uint64_t revision_ = 0;
     std::uint64_t oldest_revision_ = 0; // minimum over the pages of a listing
+    std::uint64_t required_revision_ = 0;
     bool listing_ = true;
     bool listed_ = false;
-    bool history_lost_ = false;
+    bool current_listing_ = false; // the listing may not be outdated
+    // An outdated listing has completed; its entries are used if the store does
+    // not give a current one.
+    bool outdated_ = false;
     // The store has been unavailable since its last answer.
     bool outage_ = false;
     time_point confirmed_at_{}; // last time at which the entries were current
--- a/tests/app/forward/forward_control_test.cpp
+++ b/tests/app/forward/forward_control_test.cpp
@@ -25,6 +25,7 @@
     void watch(store_kind kind, std::uint64_t, duration wait,
                store_callback<store_events> f) override
     {
+        ++watch_counts[kind];
         watch_timeouts[kind] = wait;
         on_watch[kind] = std::move(f);
     }
@@ -74,6 +75,7 @@
     std::map<store_kind, int> list_counts;
     std::map<store_kind, read_age> list_ages;
     std::map<store_kind, duration> watch_timeouts;
+    std::map<store_kind, int> watch_counts;
     std::map<store_kind, store_callback<store_page>> on_list;
     std::map<store_kind, store_callback<store_events>> on_watch;
 };
@@ -92,7 +94,7 @@
 {
     boost::asio::io_context io;
     scripted_store store;
-    forward_settings settings;
+    forward_settings settings{.name = "h1"};
     std::shared_ptr<forward_snapshot const> last_snapshot;
     forward_control control{io, settings, store,
                             [this](auto it) { last_snapshot = std::move(it); }};
@@ -111,6 +113,10 @@
     {
         return run_until(io, [&] { return store.list_counts[kind] == n; });
     }
+    bool wait_watch(store_kind kind, int n)
+    {
+        return run_until(io, [&] { return store.watch_counts[kind] == n; });
+    }
 };
 
 // Guards against a host that reports ready before it has read every kind.
@@ -189,7 +195,6 @@
 // entries of stopped hosts that stay in the store.
 TEST(forward_control, counts_the_hosts_that_renew_their_entries)
 {
-    settings.name = "h1";
     start();
     auto const now = std::chrono::duration_cast<std::chrono::milliseconds>(
                          std::chrono::system_clock::now().time_since_epoch())
@@ -205,6 +210,56 @@
     CHECK(store.removed_hosts.back() == "h3");
 }
 
+// The removal by a process that has ended reaches the store after its successor
+// has written the same entry. Guards against a host that the fleet does not
+// count until its next renewal.
+TEST(forward_control, an_entry_that_is_removed_later_is_written_again)
+{
+    start();
+    store.on_put(true);
+    store.complete_list(
+        store_kind::hosts,
+        store_page{.entries = {{.name = "h1", .value = host_entry{}}},
+                   .revision = 10});
+    UNSIGNED_LONGS_EQUAL(1, store.put_hosts.size());
+    store.complete_watch(
+        store_kind::hosts,
+        store_events{.events = {{.entry = {.name = "h1"}, .deleted = true}},
+                     .revision = 11});
+    UNSIGNED_LONGS_EQUAL(2, store.put_hosts.size());
+    // Once for each removal.
+    CHECK(wait_watch(store_kind::hosts, 2));
+    store.complete_watch(store_kind::hosts, store_events{.revision = 12});
+    UNSIGNED_LONGS_EQUAL(2, store.put_hosts.size());
+}
+
+// A host restarts; an outdated copy of the store still has an upstream that has
+// left and lacks an evacuation. Guards against serving by that copy.
+TEST(forward_control, a_restarted_host_does_not_serve_by_an_outdated_listing)
+{
+    control.start();
+    store.complete_list(
+        store_kind::manifests,
+        store_page{.entries = {manifest_entry(5)}, .revision = 20});
+    store.complete_list(
+        store_kind::upstreams,
+        store_page{.entries = {{.name = "i-1",
+                                .value = upstream_record{.instance = "i-1"}}},
+                   .revision = 12});
+    store.complete_list(store_kind::evacuations, store_page{.revision = 12});
+    CHECK_FALSE(last_snapshot->complete);
+    CHECK(store.list_ages[store_kind::upstreams] == read_age::current);
+    CHECK(store.list_ages[store_kind::evacuations] == read_age::current);
+    store.complete_list(store_kind::upstreams, store_page{.revision = 20});
+    CHECK(last_snapshot->upstreams.empty());
+    store.complete_list(
+        store_kind::evacuations,
+        store_page{.entries = {{.name = "dc", .value = evacuation_entry{}}},
+                   .revision = 20});
+    CHECK(last_snapshot->complete);
+    CHECK(last_snapshot->evacuated.contains("dc"));
+}
+
 // Guards against a draining host that stays in the count of hosts, for example
 // because it renews its entry after removing it.
 TEST(forward_control, a_leaving_host_removes_its_entry)
--- a/tests/core/forward/store_mirror_test.cpp
+++ b/tests/core/forward/store_mirror_test.cpp
@@ -122,3 +122,39 @@
     now += from_ms(3000);
     STRCMP_EQUAL("b", names().c_str());
 }
+
+// A host restarts while a copy of the store is behind. Guards against upstreams
+// in use that had left before the restart.
+TEST(store_mirror, an_outdated_first_listing_is_read_again)
+{
+    mirror.require_revision(20);
+    CHECK(std::get<list_action>(mirror.next_action()).age ==
+          read_age::may_be_old);
+    mirror.on_page(page({entry("a"), entry("b")}, 15), now);
+    CHECK_FALSE(mirror.ready());
+    CHECK(std::get<list_action>(mirror.next_action()).age == read_age::current);
+    mirror.on_page(page({entry("b")}, 21), now);
+    CHECK(mirror.ready());
+    STRCMP_EQUAL("b", names().c_str());
+}
+
+// Guards against an expensive listing where the copy is recent.
+TEST(store_mirror, a_recent_first_listing_is_used)
+{
+    mirror.require_revision(20);
+    mirror.on_page(page({entry("a")}, 20), now);
+    CHECK(mirror.ready());
+    CHECK(std::holds_alternative<watch_action>(mirror.next_action()));
+}
+
+// Guards against a host that does not serve because the store answers nothing
+// but outdated listings.
+TEST(store_mirror, an_outdated_listing_is_used_while_the_store_fails)
+{
+    mirror.require_revision(20);
+    mirror.on_page(page({entry("a")}, 15), now);
+    mirror.on_error(store_error::unavailable, 1);
+    CHECK(mirror.ready());
+    CHECK(std::get<list_action>(mirror.next_action()).age == read_age::current);
+    STRCMP_EQUAL("a", names().c_str());
+}
