--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/base/name_table.hpp"
+#include "fleet/test_fleet.hpp"
 #include "invariant_checker.hpp"
-#include "test_fleet.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/soak/test_fleet.cpp
+++ b/soak/fleet/test_fleet.cpp
@@ -1,4 +1,4 @@
-#include "test_fleet.hpp"
+#include "fleet/test_fleet.hpp"
 
 #include "platform/names.hpp"
 
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "test_fleet.hpp"
+#include "fleet/test_fleet.hpp"
 
 #include <cstddef>
 #include <cstdint>
--- a/soak/load_generator.hpp
+++ b/soak/load_generator.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "adapters/http/http_client.hpp"
+#include "fleet/test_fleet.hpp"
 #include "invariant_checker.hpp"
-#include "test_fleet.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -1,7 +1,7 @@
 #include "fault_injector.hpp"
+#include "fleet/test_fleet.hpp"
 #include "invariant_checker.hpp"
 #include "load_generator.hpp"
-#include "test_fleet.hpp"
 
 #include <cxxopts.hpp>
 
--- a/src/app/entry_host.cpp
+++ b/src/app/entry_host.cpp
@@ -11,8 +11,6 @@
 
 namespace {
 
-constexpr auto idle_poll = std::chrono::milliseconds(20);
-
 std::uint64_t random_seed()
 {
     std::random_device device;
@@ -25,7 +23,11 @@
     : settings_(std::move(settings)),
       events_(settings_.name, settings_.event_capacity),
       control_(settings_, events_, *this, random_seed()),
-      signals_(control_.io(), SIGINT, SIGTERM), drain_timer_(control_.io())
+      signals_(control_.io(), SIGINT, SIGTERM),
+      planned_stop_(control_.io(),
+                    {.accept_for = settings_.drain_linger,
+                     .stop_within = settings_.drain_timeout},
+                    stop_steps())
 {
     for (std::uint32_t i = 0; i < settings_.traffic_threads; ++i) {
         lanes_.push_back(
@@ -239,7 +241,7 @@
 
 void entry_host::on_signal()
 {
-    if (draining_) {
+    if (planned_stop_.started()) {
         stop(false);
         return;
     }
@@ -248,51 +250,40 @@
             on_signal();
         }
     });
-    start_drain();
-}
-
-// Readiness falls and ownership passes first; callers are accepted until the
-// balancer has noticed.
-void entry_host::start_drain()
-{
-    draining_ = true;
-    drain_deadline_ = core_now() + settings_.drain_timeout;
-    events_.report(event_kind::host_draining, settings_.name, "");
-    control_.leave();
-    drain_timer_.expires_after(settings_.drain_linger);
-    drain_timer_.async_wait([this](boost::system::error_code ec) {
-        if (!ec) {
-            drain_callers();
-        }
-    });
-}
-
-void entry_host::drain_callers()
-{
-    for (auto& it : lanes_) {
-        it->post([&it] { it->drain_callers(); });
-    }
-    wait_idle();
+    planned_stop_.start();
 }
 
-void entry_host::wait_idle()
+planned_stop_steps entry_host::stop_steps()
 {
-    collect([this](lane_status const& status) {
-        if (status.idle()) {
-            stop(true);
-            return;
+    auto const post_to_lanes = [this](auto f) {
+        for (auto& it : lanes_) {
+            it->post([&it, f] { f(*it); });
         }
-        if (core_now() >= drain_deadline_) {
-            stop(false);
-            return;
-        }
-        drain_timer_.expires_after(idle_poll);
-        drain_timer_.async_wait([this](boost::system::error_code ec) {
-            if (!ec) {
-                wait_idle();
-            }
-        });
-    });
+    };
+    return {
+        .begin =
+            [this, post_to_lanes](drain_times const& times) {
+                events_.report(event_kind::host_draining, settings_.name, "");
+                control_.leave();
+                post_to_lanes([times](lane& it) { it.start_draining(times); });
+            },
+        .stop_accepting =
+            [post_to_lanes] {
+                post_to_lanes([](lane& it) { it.drain_callers(); });
+            },
+        .end_requests =
+            [post_to_lanes] {
+                post_to_lanes([](lane& it) { it.end_requests(); });
+            },
+        .report =
+            [this](std::function<void(open_work)> f) {
+                collect([f = std::move(f)](lane_status const& status) {
+                    f({.requests = status.open_requests,
+                       .idle = status.idle()});
+                });
+            },
+        .stop =
+            [this](std::size_t open_requests) { stop(open_requests == 0); }};
 }
 
 void entry_host::stop(bool clean)
--- a/src/app/entry_host.hpp
+++ b/src/app/entry_host.hpp
@@ -5,10 +5,10 @@
 #include "app/event_log.hpp"
 #include "app/lane.hpp"
 #include "app/operator_api.hpp"
+#include "app/planned_stop.hpp"
 #include "app/traffic_metrics.hpp"
 
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
@@ -59,9 +59,7 @@
     lane& lane_of(peer_handle peer);
     void collect(std::function<void(lane_status)> f);
     void on_signal();
-    void start_drain();
-    void drain_callers();
-    void wait_idle();
+    planned_stop_steps stop_steps();
     void stop(bool clean);
 
     host_settings settings_;
@@ -71,9 +69,7 @@
     std::vector<std::unique_ptr<lane>> lanes_;
     std::unique_ptr<operator_api> operators_;
     boost::asio::signal_set signals_;
-    boost::asio::steady_timer drain_timer_;
-    time_point drain_deadline_{};
-    bool draining_ = false;
+    planned_stop planned_stop_;
     bool clean_ = true;
 };
 
--- a/src/app/forward/forward_host.cpp
+++ b/src/app/forward/forward_host.cpp
@@ -25,8 +25,6 @@
 // Time between the end of draining and the time at which the host is killed.
 constexpr duration stop_margin = from_ms(600);
 
-constexpr auto idle_poll = std::chrono::milliseconds(50);
-
 // The settings file may change without a SIGHUP.
 constexpr auto settings_poll = std::chrono::seconds(2);
 
@@ -46,8 +44,8 @@
                            forward_platform const& platform, line_queue& log)
     : settings_(std::move(settings)), settings_file_(std::move(settings_file)),
       log_(log), signals_(control_io_, SIGINT, SIGTERM, SIGHUP),
-      drain_timer_(control_io_), settings_timer_(control_io_),
-      log_timer_(control_io_)
+      settings_timer_(control_io_), log_timer_(control_io_),
+      planned_stop_(control_io_, stop_options(), stop_steps())
 {
     traffic_ = std::make_unique<forward_traffic>(traffic_io_, settings_,
                                                  *platform.headers, metrics_);
@@ -135,10 +133,9 @@
         reload();
         return;
     }
-    if (draining_) {
-        return;
+    if (!planned_stop_.started()) {
+        planned_stop_.start();
     }
-    start_draining();
 }
 
 void forward_host::watch_settings()
@@ -177,51 +174,47 @@
     });
 }
 
-// Fails readiness checks first. Connections are accepted until the load
-// balancer has removed the host, and each answer asks its caller to close the
-// connection.
-void forward_host::start_draining()
+planned_stop_options forward_host::stop_options() const
 {
-    draining_ = true;
-    log_info("leaving", {{"host", settings_.name}});
-    drain_deadline_ = core_now() + settings_.stop_within - stop_margin;
-    control_->deregister();
-    asio::post(traffic_io_, [this] { traffic_->start_draining(); });
-    drain_timer_.expires_after(
-        std::min(accept_after_signal, settings_.stop_within / 2));
-    drain_timer_.async_wait([this](boost::system::error_code ec) {
-        if (!ec) {
-            asio::post(traffic_io_, [this] { traffic_->stop_accepting(); });
-            poll_idle();
-        }
-    });
+    return {.accept_for =
+                std::min(accept_after_signal, settings_.stop_within / 2),
+            .stop_within = settings_.stop_within - stop_margin};
 }
 
-void forward_host::poll_idle()
+planned_stop_steps forward_host::stop_steps()
 {
-    drain_timer_.expires_after(idle_poll);
-    drain_timer_.async_wait([this](boost::system::error_code ec) {
-        if (ec) {
-            return;
-        }
-        asio::post(traffic_io_, [this] {
-            bool const idle = traffic_->idle();
-            asio::post(control_io_, [this, idle] {
-                if (idle || core_now() >= drain_deadline_) {
-                    stop(idle);
-                    return;
-                }
-                poll_idle();
-            });
-        });
-    });
+    return {
+        .begin =
+            [this](drain_times const& times) {
+                log_info("leaving", {{"host", settings_.name}});
+                control_->deregister();
+                asio::post(traffic_io_,
+                           [this, times] { traffic_->start_draining(times); });
+            },
+        .stop_accepting =
+            [this] {
+                asio::post(traffic_io_, [this] { traffic_->stop_accepting(); });
+            },
+        .end_requests =
+            [this] {
+                asio::post(traffic_io_, [this] { traffic_->end_requests(); });
+            },
+        .report =
+            [this](std::function<void(open_work)> f) {
+                asio::post(traffic_io_, [this, f = std::move(f)] {
+                    asio::post(control_io_,
+                               [f, work = traffic_->work()] { f(work); });
+                });
+            },
+        .stop = [this](std::size_t open_requests) { stop(open_requests); }};
 }
 
-void forward_host::stop(bool clean)
+void forward_host::stop(std::size_t open_requests)
 {
-    clean_ = clean;
+    clean_ = open_requests == 0;
     log_info("stopped", {{"host", settings_.name},
-                         {"open_requests", clean ? "none" : "cut off"}});
+                         {"open_requests", clean_ ? "none" : "cut off"},
+                         {"cut_off", std::to_string(open_requests)}});
     log_.flush();
     control_io_.stop();
 }
--- a/src/app/forward/forward_host.hpp
+++ b/src/app/forward/forward_host.hpp
@@ -7,12 +7,15 @@
 #include "app/forward/forward_control.hpp"
 #include "app/forward/forward_metrics.hpp"
 #include "app/forward/forward_traffic.hpp"
+#include "app/planned_stop.hpp"
 #include "ports/store_port.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -51,9 +54,9 @@
     void on_signal(int number);
     void reload();
     void watch_settings();
-    void start_draining();
-    void poll_idle();
-    void stop(bool clean);
+    planned_stop_options stop_options() const;
+    planned_stop_steps stop_steps();
+    void stop(std::size_t open_requests);
     void flush_log();
 
     forward_settings settings_;
@@ -67,12 +70,10 @@
     std::unique_ptr<forward_control> control_;
     std::unique_ptr<http_server> metrics_server_;
     boost::asio::signal_set signals_;
-    boost::asio::steady_timer drain_timer_;
     boost::asio::steady_timer settings_timer_;
     boost::asio::steady_timer log_timer_;
     std::int64_t settings_modified_ = 0;
-    time_point drain_deadline_{};
-    bool draining_ = false;
+    planned_stop planned_stop_;
     bool clean_ = false; // result of run()
 };
 
--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -23,6 +23,10 @@
 // host has usually read a manifest by then.
 constexpr duration no_manifest_retry_after = from_ms(300);
 
+// Retry-After of requests that a draining host does not start. Other hosts can
+// take them at once.
+constexpr duration draining_retry_after = from_ms(5);
+
 // Taken off the caller's deadline, so that the answer arrives in time.
 constexpr duration deadline_margin = from_ms(8);
 
@@ -313,8 +317,14 @@
     if (caller_time_left) {
         time_limit = std::min(time_limit, *caller_time_left - deadline_margin);
     }
+    auto const end = arrival + time_limit;
+    if (!admission_.admits(route->kind, core_now(), end)) {
+        refuse(request, respond, 503, errc::shutting_down,
+               draining_retry_after);
+        return nullptr;
+    }
     return start_run(std::move(request), std::move(respond), *route, arrival,
-                     arrival + time_limit);
+                     end);
 }
 
 std::vector<std::string const*>
@@ -438,9 +448,10 @@
         names_));
 }
 
-void forward_traffic::start_draining()
+void forward_traffic::start_draining(drain_times const& times)
 {
     draining_ = true;
+    admission_.begin(times);
     callers_.refuse_reuse(true);
     if (relay_service_) {
         relay_service_->start_draining();
@@ -455,10 +466,11 @@
     }
 }
 
-bool forward_traffic::idle() const
+open_work forward_traffic::work() const
 {
-    return callers_.open_connections() == 0 &&
-           (!relay_service_ || relay_service_->open() == 0);
+    auto const relayed = relay_service_ ? relay_service_->open() : 0;
+    return {.requests = callers_.open_requests() + relayed,
+            .idle = callers_.open_connections() == 0 && relayed == 0};
 }
 
 void forward_traffic::report() const
--- a/src/app/forward/forward_traffic.hpp
+++ b/src/app/forward/forward_traffic.hpp
@@ -10,6 +10,7 @@
 #include "app/forward/relay_service.hpp"
 #include "app/forward/request_log.hpp"
 #include "app/forward/run_table.hpp"
+#include "app/planned_stop.hpp"
 #include "core/forward/relay_pool.hpp"
 #include "core/forward/request_run.hpp"
 #include "core/forward/weighted_rotation.hpp"
@@ -45,13 +46,16 @@
         on_crash_ = std::move(f);
     }
     void set_retry_budget(retry_budget_settings const& settings);
-    // Fails readiness checks and asks callers to close their connections.
-    void start_draining();
+    // Fails readiness checks, asks callers to close their connections, and
+    // refuses requests that may not end in time.
+    void start_draining(drain_times const& times);
     // Stops accepting connections and closes idle connections.
     void stop_accepting();
-    // Whether no connection is open. An idle connection counts as open, because
-    // its caller may be sending a request.
-    bool idle() const;
+    // Answers all open requests as failed.
+    void end_requests() { runs_.end_all(); }
+    // Idle means that no connection is open: on an idle connection the caller
+    // may be sending a request.
+    open_work work() const;
     // Copies counters to the metrics.
     void report() const;
 
@@ -99,6 +103,7 @@
     boost::asio::steady_timer probe_timer_;
     boost::asio::steady_timer preconnect_timer_;
     bool preconnecting_ = false; // set once the fleet size has settled
+    drain_admission admission_;
     bool draining_ = false;
     bool cut_off_ = false;
     http_server callers_;
--- a/src/app/forward/run_table.cpp
+++ b/src/app/forward/run_table.cpp
@@ -57,6 +57,15 @@
     return std::visit([](auto& run) { return run->summary(); }, it.run);
 }
 
+void run_table::end_all()
+{
+    for (auto& [number, it] : runs_) {
+        if (it.deliver) {
+            std::visit([](auto& run) { run->time_out(); }, it.run);
+        }
+    }
+}
+
 // Deferred, because the run may be on the call stack.
 void run_table::erase_later(std::uint64_t number)
 {
--- a/src/app/forward/run_table.hpp
+++ b/src/app/forward/run_table.hpp
@@ -46,6 +46,8 @@
     // Stops a run whose caller has disconnected. Returns the summary of the
     // run, or nothing when the answer has already been delivered.
     std::optional<run_summary> cancel(std::uint64_t number);
+    // Answers every open run as one that has exceeded its deadline.
+    void end_all();
     std::size_t size() const { return runs_.size(); }
 
 private:
--- a/src/app/lane.cpp
+++ b/src/app/lane.cpp
@@ -115,11 +115,6 @@
     });
 }
 
-void lane::drain_callers()
-{
-    callers_->drain();
-}
-
 void lane::drain_peers()
 {
     peer_server_->drain();
--- a/src/app/lane.hpp
+++ b/src/app/lane.hpp
@@ -8,6 +8,7 @@
 #include "app/lane_status.hpp"
 #include "app/traffic_metrics.hpp"
 #include "app/upstream_watch.hpp"
+#include "core/base/drain_admission.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -92,8 +93,13 @@
     give_up(std::shared_ptr<routing_view const> const& view);
     void set_quarantine(std::vector<fingerprint> const& prints);
     void set_handover(std::vector<upstream_gauge> const& gauges);
+    // Asks callers to close their connections and refuses requests that may not
+    // end in time.
+    void start_draining(drain_times const& times);
     // Accepts no more callers' connections.
     void drain_callers();
+    // Answers the open requests of callers as failed.
+    void end_requests();
     void drain_peers();
     lane_status status() const;
 
@@ -119,6 +125,10 @@
     };
 
     // Callers.
+    // The failure to answer with if a request of this kind and time-out is not
+    // started, because this host stops.
+    std::optional<failure> refusal_by_drain(idempotency kind,
+                                            duration time_allowed) const;
     std::function<void()> on_http(http_request const& request,
                                   http_responder respond);
     std::function<void()> on_query_request(http_request const& request,
@@ -223,6 +233,7 @@
     std::unique_ptr<http_server> callers_;
     std::unique_ptr<peer_server> peer_server_;
 
+    drain_admission admission_;
     std::uint64_t next_caller_ = 1;
     std::unordered_map<caller_handle, pending_query> callers_pending_;
     std::unordered_map<std::uint64_t, http_responder> submits_pending_;
--- a/src/app/lane_callers.cpp
+++ b/src/app/lane_callers.cpp
@@ -19,6 +19,48 @@
 
 } // namespace
 
+void lane::start_draining(drain_times const& times)
+{
+    admission_.begin(times);
+    callers_->refuse_reuse(true);
+}
+
+void lane::drain_callers()
+{
+    callers_->drain();
+}
+
+// What has run may go on at its upstream, so the outcome is unknown.
+void lane::end_requests()
+{
+    failure const ended{.code = errc::deadline_exceeded,
+                        .run = run_state::unknown,
+                        .detail = "the host stops"};
+    auto const queries = std::exchange(callers_pending_, {});
+    for (auto const& [caller, it] : queries) {
+        refuse(it.respond, ended);
+        with_query([&](time_point now, query_actions& out) {
+            query_.on_caller_gone(now, caller, out);
+        });
+    }
+    for (auto const& [caller, respond] : std::exchange(submits_pending_, {})) {
+        refuse(respond, ended);
+    }
+}
+
+std::optional<failure> lane::refusal_by_drain(idempotency kind,
+                                              duration time_allowed) const
+{
+    auto const now = core_now();
+    if (admission_.admits(kind, now, now + time_allowed)) {
+        return std::nullopt;
+    }
+    env_.metrics->refused(errc::shutting_down);
+    return failure{.code = errc::shutting_down,
+                   .run = run_state::not_run,
+                   .detail = "the host stops before the deadline"};
+}
+
 std::function<void()> lane::on_http(http_request const& request,
                                     http_responder respond)
 {
@@ -49,12 +91,17 @@
         refuse(respond, *f);
         return {};
     }
+    auto& query = std::get<caller_query>(parsed);
+    if (auto const f = refusal_by_drain(idempotency::idempotent,
+                                        query_.time_allowed(query))) {
+        refuse(respond, *f);
+        return {};
+    }
     auto const caller = next_caller_++;
     callers_pending_[caller] = {.respond = std::move(respond),
                                 .started = core_now()};
     with_query([&](time_point now, query_actions& out) {
-        query_.on_query(now, caller, std::move(std::get<caller_query>(parsed)),
-                        out);
+        query_.on_query(now, caller, std::move(query), out);
     });
     return [this, caller] {
         callers_pending_.erase(caller);
@@ -74,11 +121,17 @@
         refuse(respond, *f);
         return {};
     }
+    auto& submit = std::get<caller_submit>(parsed);
+    if (auto const f =
+            refusal_by_drain(idempotency::at_most_once, submit.deadline)) {
+        refuse(respond, *f);
+        return {};
+    }
     auto const caller = next_caller_++;
     submits_pending_[caller] = std::move(respond);
     with_submit([&](time_point now, submit_actions& out) {
-        submit_.on_submit(now, wall_us() / 1000, caller,
-                          std::move(std::get<caller_submit>(parsed)), out);
+        submit_.on_submit(now, wall_us() / 1000, caller, std::move(submit),
+                          out);
     });
     // A submit goes on when its caller has gone: the outcome is recorded.
     return [this, caller] { submits_pending_.erase(caller); };
--- a/src/core/forward/manifest.hpp
+++ b/src/core/forward/manifest.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "core/base/name_table.hpp"
+#include "core/base/idempotency.hpp"
 #include "core/base/time.hpp"
 
 #include <cstddef>
@@ -11,18 +11,6 @@
 
 namespace snipemill {
 
-// Whether a request may run more than once.
-enum class idempotency : std::uint8_t
-{
-    idempotent,
-    at_most_once
-};
-
-inline constexpr name_table<idempotency, 2> idempotency_names{{
-    {idempotency::idempotent, "idempotent"},
-    {idempotency::at_most_once, "at_most_once"},
-}};
-
 // All requests go to one service.
 struct single_target
 {
--- a/src/core/forward/request_run.cpp
+++ b/src/core/forward/request_run.cpp
@@ -238,7 +238,7 @@
         return;
     }
     if (!done_ && now >= options_.end) {
-        answer_time_out();
+        time_out();
     }
 }
 
@@ -368,8 +368,11 @@
                       settings.retry_saturated, settings.max_retry_saturated);
 }
 
-void request_run::answer_time_out()
+void request_run::time_out()
 {
+    if (done_) {
+        return;
+    }
     if (gather() && enough_answers()) {
         answer_merged();
         return;
--- a/src/core/forward/request_run.hpp
+++ b/src/core/forward/request_run.hpp
@@ -75,6 +75,8 @@
     // The caller has disconnected, so no answer is sent. Requests that may run
     // at most once run to their end.
     void cancel();
+    // Answers as if the deadline had passed.
+    void time_out();
     std::optional<time_point> next_timer() const;
     void on_timer(time_point now);
 
@@ -100,7 +102,6 @@
     bool may_have_run() const;
     void answer_merged();
     void answer_single();
-    void answer_time_out();
     void answer_failure(fetch_fault fault);
     void finish_with_error(unsigned status, errc code, run_state run,
                            std::string const& detail, duration retry_after);
--- a/src/core/query/query_engine.cpp
+++ b/src/core/query/query_engine.cpp
@@ -74,6 +74,7 @@
         }
         return timers_.top().at;
     }
+    duration time_allowed(caller_query const& query) const;
     std::size_t in_flight() const { return runs_.size(); }
     query_counters const& counters() const { return shared_.counters; }
 
@@ -157,6 +158,15 @@
     return std::nullopt;
 }
 
+duration query_engine::impl::time_allowed(caller_query const& query) const
+{
+    auto const* const group =
+        shared_.routes ? shared_.routes->config().find_group(query.group)
+                       : nullptr;
+    return query.deadline.value_or(group ? group->object.deadline
+                                         : duration::zero());
+}
+
 void query_engine::impl::on_query(time_point now, caller_handle caller,
                                   caller_query query, query_actions& out)
 {
@@ -453,6 +463,11 @@
     impl_->on_timer(now, out);
 }
 
+duration query_engine::time_allowed(caller_query const& query) const
+{
+    return impl_->time_allowed(query);
+}
+
 std::optional<time_point> query_engine::next_timer() const
 {
     return impl_->next_timer();
--- a/src/core/query/query_engine.hpp
+++ b/src/core/query/query_engine.hpp
@@ -120,6 +120,10 @@
                       describe_answer answer, query_actions& out);
     void on_timer(time_point now, query_actions& out);
 
+    // Time from the arrival of a query to its deadline; zero when its group
+    // does not exist.
+    duration time_allowed(caller_query const& query) const;
+
     // When on_timer wants to be called next; no value when nothing waits.
     std::optional<time_point> next_timer() const;
 
--- a/standins/fleet/upstream.cpp
+++ b/standins/fleet/upstream.cpp
@@ -67,9 +67,7 @@
             boost::asio::post(io_, [f = options_.on_crash, it] { f(it->id); });
             continue;
         }
-        std::exponential_distribution<double> distribution(1);
-        auto const ms = static_cast<double>(options_.work.count()) *
-                        work_factor_ * (0.5 + 0.5 * distribution(random_));
+        auto const ms = work_time_ms();
         auto const timer = std::make_shared<boost::asio::steady_timer>(
             io_, std::chrono::microseconds(static_cast<int>(1000 * ms)));
         timer->async_wait(
@@ -81,6 +79,16 @@
     }
 }
 
+double upstream::work_time_ms()
+{
+    if (fixed_work_) {
+        return static_cast<double>(fixed_work_->count());
+    }
+    std::exponential_distribution<double> distribution(1);
+    return static_cast<double>(options_.work.count()) * work_factor_ *
+           (0.5 + 0.5 * distribution(random_));
+}
+
 std::string upstream::make_records()
 {
     std::string out;
--- a/standins/fleet/upstream.hpp
+++ b/standins/fleet/upstream.hpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
@@ -63,6 +64,8 @@
     upstream_options const& options() const { return options_; }
     // Multiplies the time that requests take.
     void set_work_factor(double factor) { work_factor_ = factor; }
+    // Makes each request take exactly this time.
+    void set_fixed_work(std::chrono::milliseconds work) { fixed_work_ = work; }
     // Ratio of requests that run but are answered with status 500.
     void set_failure_ratio(double ratio) { failure_ratio_ = ratio; }
     steady_time last_arrival() const { return last_arrival_; }
@@ -80,6 +83,7 @@
                                      snipemill::http_responder const& respond);
     void start_next();
     void finish(std::shared_ptr<job> const& it);
+    double work_time_ms();
     std::string make_records();
 
     boost::asio::io_context& io_;
@@ -87,6 +91,7 @@
     run_log& log_;
     std::mt19937_64 random_;
     double work_factor_ = 1;
+    std::optional<std::chrono::milliseconds> fixed_work_;
     double failure_ratio_ = 0;
     unsigned running_ = 0;
     std::uint64_t next_stamp_ = 1;
--- a/tests/core/forward/relayed_run_test.cpp
+++ b/tests/core/forward/relayed_run_test.cpp
@@ -312,3 +312,19 @@
     UNSIGNED_LONGS_EQUAL(504, status());
     CHECK(call(0).cancelled);
 }
+
+// A relay is silent for a while, so that its entry lapses and it fails probes.
+// Guards against giving up the query that it still runs, and against running
+// it again elsewhere.
+TEST(relayed_run, a_query_outlives_the_entry_of_its_relay)
+{
+    start();
+    call(0).on_event(relay_accepted{});
+    relays.pool.set_relays({}, f.now);
+    advance(from_ms(600));
+    CHECK_FALSE(call(0).cancelled);
+    UNSIGNED_LONGS_EQUAL(1, relays.port.runs.size());
+    CHECK(f.exchanges.all.empty());
+    call(0).on_event(relay_answer{.answer = merged_answer{.body = "x"}});
+    UNSIGNED_LONGS_EQUAL(200, status());
+}
--- a/tests/core/forward/service_fetch_test.cpp
+++ b/tests/core/forward/service_fetch_test.cpp
@@ -169,3 +169,22 @@
     f.exchanges.end(0, good_answer());
     UNSIGNED_LONGS_EQUAL(0, f.exchanges.all[0].to->in_flight());
 }
+
+// An upstream is silent for a while, so that its entry lapses. Guards against
+// giving up the request that it still runs, and against running it again
+// elsewhere.
+TEST(single_request, a_running_request_outlives_the_entry_of_its_upstream)
+{
+    for (auto const kind :
+         {idempotency::at_most_once, idempotency::idempotent}) {
+        f.update();
+        run_driver run(f, f.single_route(kind));
+        auto const n = f.exchanges.all.size();
+        f.fleet.update({}, {}, f.now);
+        run.pass(from_ms(600));
+        UNSIGNED_LONGS_EQUAL(n, f.exchanges.all.size());
+        CHECK_FALSE(f.exchanges.all[n - 1].released.has_value());
+        f.exchanges.end(n - 1, good_answer());
+        UNSIGNED_LONGS_EQUAL(200, run.status());
+    }
+}
