--- a/src/adapters/settings/forward_settings.cpp
+++ b/src/adapters/settings/forward_settings.cpp
@@ -74,6 +74,7 @@
     in.require("store");
     in.map("store", [&](yaml_reader& store) {
         read_address(store, "address", out.store);
+        read_seconds(store, "history_s", out.store_history);
         store.finish();
     });
     in.map("fleet", [&](yaml_reader& fleet) {
--- a/src/adapters/settings/forward_settings.hpp
+++ b/src/adapters/settings/forward_settings.hpp
@@ -33,6 +33,8 @@
     std::optional<listen_address> relay;
     double cores = 1; // processor share of this host
     listen_address store;
+    // Time for which the store keeps the history of changes.
+    duration store_history = from_ms(20'000);
     retry_budget_settings retry_budget;
     // Extra sends to a service in a window that the fleet may make besides the
     // ratio. The default leaves 3 to each of 8 hosts.
--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -30,6 +30,12 @@
 
 // No time limit applies to changes of the list of hosts.
 constexpr duration host_watch_timeout = from_ms(20'000);
+
+// A watch that waits as long as the store keeps its history fails: the store
+// cannot tell any more that nothing has changed. Every kind is then listed
+// again.
+constexpr double max_watch_ratio = 0.75;
+
 constexpr duration host_batch_delay = from_ms(500);
 
 // When the store drops its history, the shorter watches of other kinds notice
@@ -111,10 +117,14 @@
                               settings.leave_within - watch_margin,
                               settings.evacuate_within - watch_margin,
                               host_watch_timeout, crash_watch_timeout};
+    auto const longest = std::chrono::duration_cast<duration>(
+        settings.store_history * max_watch_ratio);
     for (std::size_t i = 0; i < watchers_.size(); ++i) {
         watchers_[i] =
             std::make_unique<watcher>(io, store_kind_names[i].first, mirror);
-        watchers_[i]->watch_timeout = std::max(min_watch_timeout, timeouts[i]);
+        watchers_[i]->watch_timeout =
+            std::clamp(timeouts[i], min_watch_timeout,
+                       std::max(min_watch_timeout, longest));
     }
     watchers_[1]->batch_delay = upstream_batch_delay;
     watchers_[3]->batch_delay = host_batch_delay;
--- a/tests/adapters/settings/forward_settings_test.cpp
+++ b/tests/adapters/settings/forward_settings_test.cpp
@@ -40,6 +40,15 @@
     CHECK(it.change_within == from_ms(3000));
 }
 
+// Guards against watches that outlast the history of another store.
+TEST(forward_settings_file, reads_how_long_the_store_keeps_its_history)
+{
+    CHECK(good(minimal).store_history == from_ms(20'000));
+    auto text = minimal;
+    text.replace(text.find(":80\""), 4, ":80\", history_s: 30");
+    CHECK(good(text).store_history == from_ms(30'000));
+}
+
 // Guards against hosts that together repeat more than the fleet may.
 TEST(forward_settings_file, divides_the_slack_of_the_fleet)
 {
--- a/tests/app/forward/forward_control_test.cpp
+++ b/tests/app/forward/forward_control_test.cpp
@@ -163,6 +163,20 @@
     CHECK(store.watch_timeouts[store_kind::evacuations] <= from_ms(4000));
 }
 
+// Load pattern: hundreds of hosts on a quiet day. Guards against a watch that
+// outlasts the history of the store: it fails, and every host lists every kind
+// again.
+TEST(forward_control, no_watch_outlasts_the_history_of_the_store)
+{
+    start();
+    store.complete_list(store_kind::hosts, store_page{.revision = 10});
+    store.complete_list(store_kind::crashes, store_page{.revision = 10});
+    UNSIGNED_LONGS_EQUAL(5, store.watch_timeouts.size());
+    for (auto const& [kind, timeout] : store.watch_timeouts) {
+        CHECK(timeout < settings.store_history);
+    }
+}
+
 // Guards against watches that stay open after the watch of another kind has
 // failed because the history is lost.
 TEST(forward_control, lost_history_of_one_kind_lists_every_kind)
