--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -395,7 +395,11 @@
         on_history_gone();
         return;
     }
+    bool const was_ready = it.mirror.ready();
     it.mirror.on_error(error, it.failures);
+    if (it.mirror.ready() != was_ready) {
+        publish();
+    }
     call_after(it, retry_delay(it.failures));
 }
 
--- a/tests/app/forward/forward_control_test.cpp
+++ b/tests/app/forward/forward_control_test.cpp
@@ -274,6 +274,21 @@
     CHECK(last_snapshot->evacuated.contains("dc"));
 }
 
+// The store fails right after it has given outdated listings. Guards against a
+// host that does not serve with what it has.
+TEST(forward_control, serves_by_an_outdated_listing_while_the_store_fails)
+{
+    control.start();
+    store.complete_list(
+        store_kind::manifests,
+        store_page{.entries = {manifest_entry(5)}, .revision = 20});
+    for (auto const kind : {store_kind::upstreams, store_kind::evacuations}) {
+        store.complete_list(kind, store_page{.revision = 12});
+        store.complete_list(kind, store_error::unavailable);
+    }
+    CHECK(last_snapshot->complete);
+}
+
 // Guards against a draining host that stays in the count of hosts, for example
 // because it renews its entry after removing it.
 TEST(forward_control, a_leaving_host_removes_its_entry)
