--- a/src/app/lane_callers.cpp
+++ b/src/app/lane_callers.cpp
@@ -37,14 +37,15 @@
                         .run = run_state::unknown,
                         .detail = "the host stops"};
     auto const queries = std::exchange(callers_pending_, {});
-    for (auto const& [caller, it] : queries) {
-        refuse(it.respond, ended);
+    for (auto const& it : queries) {
+        refuse(it.second.respond, ended);
         with_query([&](time_point now, query_actions& out) {
-            query_.on_caller_gone(now, caller, out);
+            query_.on_caller_gone(now, it.first, out);
         });
     }
-    for (auto const& [caller, respond] : std::exchange(submits_pending_, {})) {
-        refuse(respond, ended);
+    auto const submits = std::exchange(submits_pending_, {});
+    for (auto const& it : submits) {
+        refuse(it.second, ended);
     }
 }
 
