--- a/standins/fleet/fault_proxy.cpp
+++ b/standins/fleet/fault_proxy.cpp
@@ -131,9 +131,12 @@
 
 void fault_proxy::accept()
 {
-    acceptor_.async_accept([this](boost::system::error_code ec,
-                                  tcp::socket socket) {
-        if (ec) {
+    // A connection may have been accepted before the proxy ends and be handled
+    // afterwards.
+    acceptor_.async_accept([this, alive = std::weak_ptr(alive_)](
+                               boost::system::error_code ec,
+                               tcp::socket socket) {
+        if (ec || alive.expired()) {
             return;
         }
         auto const it =
--- a/standins/fleet/fault_proxy.hpp
+++ b/standins/fleet/fault_proxy.hpp
@@ -51,6 +51,7 @@
     link_fault fault_ = link_fault::none;
     std::chrono::milliseconds delay_{};
     std::vector<std::weak_ptr<connection>> connections_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 } // namespace standin
