--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -515,11 +515,13 @@
     if not os.access(PROGRAM, os.X_OK):
         print("target/snipemill is not built")
         sys.exit(2)
+    # Ended from outside, the script still ends the processes that it started.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     record = Record(folder)
     with tempfile.TemporaryDirectory() as temp:
         try:
             code = asyncio.run(case(record, temp))
-        except Exception as error:  # the case could not run
+        except (Exception, KeyboardInterrupt) as error:  # the case could not run
             record("could not run: %r" % error)
             print("could not run: %r" % error)
             code = 2
