--- a/review/5/case.py
+++ b/review/beside/common-query/case.py
@@ -5,7 +5,7 @@
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(os.path.dirname(HERE), "lib"))
+sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(HERE)), "lib"))
 import fleet  # noqa: E402
 
 CRASH_AT = 8.0
--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -526,4 +526,5 @@
             print("could not run: %r" % error)
             code = 2
     record.close()
-    sys.exit(code)
+    sys.stdout.flush()
+    os._exit(code)  # connections of an ended loop need no farewell
