Do not retry a request on a connection that has carried it

An upstream that rejects a request may send a second copy of the rejection late. The retry has the same id and mostly used the same connection, and answers are told apart by the id alone, so that the copy counted as the answer to the retry, which the upstream ran all the same.

A connection now remembers the ids that may be sent again, until their deadlines, and a retry uses another one; the connection opened for it replaces an idle one, so that the upstream's limit holds.

Ruled out: retries while an attempt is open (a request that may run once is sent again only after its attempt has ended), and copies on other connections.

The three new tests of upstream_links fail while has_carried returns false. New counters: upstream_late_answers, upstream_retry_connects.

--- a/src/adapters/forward/upstream_links.cpp
+++ b/src/adapters/forward/upstream_links.cpp
@@ -249,18 +249,53 @@
     }
 }
 
-upstream_links::connection_ptr upstream_links::take_idle(upstream_link& it)
+// A connection that has carried the request is left to other requests. When no
+// other one is idle, the longest idle one is closed, so that the connection
+// that is opened instead is not one more.
+upstream_links::connection_ptr upstream_links::take_idle(upstream_link& it,
+                                                         std::string const& id)
 {
     auto const oldest = now_() - it.idle_timeout;
-    while (!it.idle.empty()) {
-        auto const last = std::move(it.idle.back());
+    std::vector<idle_connection> passed_over;
+    connection_ptr out;
+    while (!out && !it.idle.empty()) {
+        auto last = std::move(it.idle.back());
         it.idle.pop_back();
-        if (last.since > oldest && last.connection->usable()) {
-            return last.connection;
+        if (last.since <= oldest || !last.connection->usable()) {
+            last.connection->discard();
         }
-        last.connection->discard();
+        else if (last.connection->has_carried(id)) {
+            passed_over.push_back(std::move(last));
+        }
+        else {
+            out = std::move(last.connection);
+        }
+    }
+    if (!out && !passed_over.empty()) {
+        ++counters_.retry_connects;
+        passed_over.back().connection->discard();
+        passed_over.pop_back();
+    }
+    it.idle.insert(it.idle.end(), passed_over.rbegin(), passed_over.rend());
+    return out;
+}
+
+// Takes the first waiting exchange whose request the connection has not
+// carried. One that is passed over gets the connection that is being opened for
+// it.
+std::optional<exchange_id>
+upstream_links::take_waiting(upstream_link& it, client_connection const& for_it)
+{
+    auto const found =
+        std::find_if(it.waiting.begin(), it.waiting.end(), [&](exchange_id id) {
+            return !for_it.has_carried(exchanges_.at(id).request->id);
+        });
+    if (found == it.waiting.end()) {
+        return std::nullopt;
     }
-    return nullptr;
+    auto const out = *found;
+    it.waiting.erase(found);
+    return out;
 }
 
 exchange_id upstream_links::send(upstream_ptr to,
@@ -270,11 +305,12 @@
 {
     auto const id = next_id_++;
     auto const it = link_of(to);
+    auto const connection = take_idle(*it, request->id);
     exchanges_.emplace(id, exchange{.to = std::move(to),
                                     .request = std::move(request),
                                     .deadline = deadline,
                                     .f = std::move(f)});
-    if (auto const connection = take_idle(*it)) {
+    if (connection) {
         start_exchange(it, id, connection);
         return id;
     }
@@ -291,9 +327,11 @@
     auto& open = exchanges_.at(id);
     open.connection = connection;
     ++counters_.exchanges;
-    connection->expect_echo(names_.request_id, open.request->id);
+    auto const time_left = open.deadline - now_();
+    connection->expect_echo(names_.request_id, open.request->id,
+                            std::chrono::steady_clock::now() + time_left);
     connection->exchange(
-        write_upstream_request(*open.request, names_, open.deadline - now_(),
+        write_upstream_request(*open.request, names_, time_left,
                                it->to->record.instance),
         open.request->method == "HEAD",
         [this, alive = alive_, it, id, connection](exchange_result result) {
@@ -307,6 +345,7 @@
                                connection_ptr const& connection,
                                exchange_result result)
 {
+    counters_.late_answers += connection->take_late_answers();
     reuse_or_reconnect(it, connection, result);
     if (auto* const answer = std::get_if<http_response>(&result)) {
         complete_exchange(id, read_upstream_answer(std::move(*answer), names_));
@@ -347,9 +386,8 @@
         connection->discard();
         return;
     }
-    if (!it->waiting.empty()) {
-        auto const next = it->waiting.front();
-        it->waiting.pop_front();
+    if (auto const waiting = take_waiting(*it, *connection)) {
+        auto const next = *waiting;
         // Posted, because a new exchange must not start inside the callback of
         // the connection's previous one.
         asio::post(io_, [this, alive = alive_, it, next, connection] {
--- a/src/adapters/forward/upstream_links.hpp
+++ b/src/adapters/forward/upstream_links.hpp
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -52,6 +53,10 @@
     std::uint64_t connect_failures = 0;
     std::uint64_t exchanges = 0;
     std::uint64_t lost = 0;
+    // Answers to earlier requests that arrived late and were skipped.
+    std::uint64_t late_answers = 0;
+    // Retries that needed another connection than the idle ones.
+    std::uint64_t retry_connects = 0;
 };
 
 // HTTP connections to upstreams. Preconnects to each upstream that may be used,
@@ -133,7 +138,10 @@
     void on_connect_failed(link_ptr const& it);
     void schedule_reconnect(link_ptr const& it);
     void reconnect(link_ptr const& it);
-    connection_ptr take_idle(upstream_link& it);
+    // An idle connection that has not carried the request, or null.
+    connection_ptr take_idle(upstream_link& it, std::string const& id);
+    std::optional<exchange_id> take_waiting(upstream_link& it,
+                                            client_connection const& for_it);
     void start_exchange(link_ptr const& it, exchange_id id,
                         connection_ptr const& connection);
     void on_result(link_ptr const& it, exchange_id id,
--- a/src/adapters/http/client_connection.cpp
+++ b/src/adapters/http/client_connection.cpp
@@ -134,12 +134,20 @@
     socket_.set_option(user_timeout(ms), ignored);
 }
 
-void client_connection::expect_echo(std::string header, std::string value)
+void client_connection::expect_echo(
+    std::string header, std::string value,
+    std::chrono::steady_clock::time_point resent_until)
 {
+    carried_.add(value, resent_until, std::chrono::steady_clock::now());
     echo_header_ = std::move(header);
     echo_value_ = std::move(value);
 }
 
+bool client_connection::has_carried(std::string_view value) const
+{
+    return carried_.contains(value);
+}
+
 bool client_connection::usable()
 {
     if (state_ != state::idle) {
@@ -316,6 +324,7 @@
         return false;
     }
     ++skipped_;
+    late_answers_ += is_foreign() ? 1 : 0;
     begin_parser();
     return true;
 }
--- a/src/adapters/http/client_connection.hpp
+++ b/src/adapters/http/client_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http/http_server.hpp"
 #include "adapters/net/byte_count.hpp"
+#include "core/base/recent_ids.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -18,6 +19,8 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <variant>
 
 namespace snipemill {
@@ -75,8 +78,14 @@
     // Skips answers whose header (lower case) has another value: they belong
     // to an earlier request. Without that header the answer cannot be told from
     // a late copy of an earlier one, so it is accepted only as the first of its
-    // connection, which is not reused. Holds for the next exchange.
-    void expect_echo(std::string header, std::string value);
+    // connection, which is not reused. Holds for the next exchange. A request
+    // that may be sent again with the same value until `resent_until` has to go
+    // over another connection then: see has_carried().
+    void expect_echo(std::string header, std::string value,
+                     std::chrono::steady_clock::time_point resent_until = {});
+    // Whether the connection has carried a request with this value. A late copy
+    // of the answer to it would be taken for the answer to a retry.
+    bool has_carried(std::string_view value) const;
     // Sends a written request. Only when usable().
     void exchange(std::string request, bool head,
                   std::function<void(exchange_result)> f);
@@ -93,6 +102,12 @@
     // Whether a byte of the open exchange may have left.
     bool sent() const { return sent_; }
     std::uint64_t exchanges() const { return exchanges_; }
+    // Number of late answers to earlier requests that were skipped since the
+    // last call.
+    std::uint64_t take_late_answers()
+    {
+        return std::exchange(late_answers_, 0);
+    }
     // time_point::max() until it is connected.
     std::chrono::steady_clock::time_point connected_at() const
     {
@@ -144,6 +159,8 @@
     std::string request_;
     std::string echo_header_;
     std::string echo_value_;
+    recent_ids carried_;
+    std::uint64_t late_answers_ = 0;
     duration silence_limit_{};
     std::function<void(bool)> on_connect_;
     std::function<void(exchange_result)> on_result_;
--- a/tests/adapters/forward/upstream_links_test.cpp
+++ b/tests/adapters/forward/upstream_links_test.cpp
@@ -84,6 +84,12 @@
             "\r\nx-proof: p\r\nContent-Length: " + std::to_string(body.size()) +
             "\r\n\r\n" + body + extra);
     }
+    void refuse(std::string const& id, std::size_t peer = 0)
+    {
+        server.peers[peer]->send(
+            "HTTP/1.1 503 Service Unavailable\r\nx-id: " + id +
+            "\r\nx-not-run: 1\r\nContent-Length: 0\r\n\r\n");
+    }
     std::string body(std::size_t n)
     {
         CHECK(std::holds_alternative<upstream_answer>(outcomes[n]));
@@ -120,6 +126,65 @@
     STRCMP_EQUAL("one", body(0).c_str());
 }
 
+// An upstream refuses a request and sends a second copy of the refusal when the
+// connection is in use again. Guards against taking the copy for the answer to
+// the retry, which has the same id: the request ran, and would run again.
+TEST(upstream_links, a_retry_uses_another_connection_than_its_first_try)
+{
+    start();
+    send("1");
+    CHECK(wait_request("1"));
+    refuse("1");
+    CHECK(wait_outcomes(1));
+    send("1");
+    CHECK(wait_request("1", 1));
+    refuse("1");
+    answer("1", "one", "", 1);
+    CHECK(wait_outcomes(2));
+    STRCMP_EQUAL("one", body(1).c_str());
+    UNSIGNED_LONGS_EQUAL(1, server.peers[0]->count("x-id: 1"));
+    UNSIGNED_LONGS_EQUAL(1, links->counters().retry_connects);
+}
+
+// Guards against one connection more for each retry, which could exceed the
+// upstream's limit.
+TEST(upstream_links, the_connection_of_a_retry_replaces_an_idle_one)
+{
+    start();
+    send("1");
+    CHECK(wait_request("1"));
+    refuse("1");
+    CHECK(wait_outcomes(1));
+    send("1");
+    CHECK(wait_request("1", 1));
+    CHECK(run_until(io, [&] { return server.peers[0]->closed; }));
+    answer("1", "one", "", 1);
+    CHECK(wait_outcomes(2));
+    send("2");
+    CHECK(run_until(io, [&] { return server.peers[1]->has("x-id: 2\r\n"); }));
+    UNSIGNED_LONGS_EQUAL(2, server.peers.size());
+}
+
+// A retry waits for a connection while another request ends. Guards against
+// giving it the connection of its first try, which is free again.
+TEST(upstream_links, a_waiting_retry_does_not_get_the_connection_it_has_used)
+{
+    start();
+    send("1");
+    CHECK(wait_request("1"));
+    refuse("1");
+    CHECK(wait_outcomes(1));
+    send("2");
+    CHECK(run_until(io, [&] { return server.peers[0]->has("x-id: 2\r\n"); }));
+    // The answer has arrived, but is read after the retry has begun to wait.
+    answer("2", "two");
+    send("1");
+    CHECK(wait_request("1", 1));
+    UNSIGNED_LONGS_EQUAL(1, server.peers[0]->count("x-id: 1"));
+    answer("1", "one", "", 1);
+    CHECK(wait_outcomes(3));
+}
+
 // A late copy of an earlier answer that carries no id. Guards against a refusal
 // of an earlier request that is taken for the refusal of this one.
 TEST(upstream_links, an_answer_without_an_id_on_a_used_connection_is_lost)
