Bound the age of what hosts know of the store

Watches accept outdated data, which costs a tenth of a current call, and nothing bounded its age: a host compared its copy with a current read only at its start and after lost history.

One host of the fleet now reads the store, up to date, at a third of the shortest bound, and sends the revisions that each kind must have reached to the others as datagrams. A host that gets none takes over, in an order that every host computes from the list of hosts. A host whose copy of a kind stays below its floor reads it, first with a call that accepts outdated data, then up to date. Answers that end before the copy's revision are ignored. First listings, crash records and watches opened again are covered; the list of hosts has no bound, and the protocol of serve has no outdated reads.

Ruled out: pauses between two calls (they delay upstreams by 0.4 s at most, the delays were those of the data, on all hosts).

The stand-in store can give outdated data. planned_stop and outdated_store share tests/process/forward_fixture; the checks of planned_stop are unchanged.

--- a/src/adapters/peer/probe_socket.hpp
+++ b/src/adapters/peer/probe_socket.hpp
@@ -42,7 +42,7 @@
 
 private:
     class impl;
-    std::shared_ptr<impl> impl_;
+    std::unique_ptr<impl> impl_;
 };
 
 } // namespace snipemill
--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -103,7 +103,8 @@
       random_(std::random_device()()), host_(own_host(settings)),
       expiry_timer_(io), renewal_timer_(io), crash_timer_(io),
       max_batch_delay_(std::chrono::duration_cast<duration>(
-          settings.leave_within * max_batch_delay_ratio))
+          settings.leave_within * max_batch_delay_ratio)),
+      floors_(io, floor_options(settings))
 {
     auto const mirror = mirror_settings(settings);
     std::array const timeouts{settings.change_within - watch_margin,
@@ -243,9 +244,12 @@
         overloaded{[&](list_action const& action) {
                        // A stale read could make a starting host serve by an
                        // old manifest.
-                       auto const age = it.kind == store_kind::manifests
-                                            ? read_age::current
-                                            : action.age;
+                       bool const manifests = it.kind == store_kind::manifests;
+                       auto const age =
+                           manifests ? read_age::current : action.age;
+                       if (manifests && action.after.empty()) {
+                           listing_began_ = core_now();
+                       }
                        store_.list(it.kind, action.after, age,
                                    [this, &it, current](auto result) {
                                        if (current()) {
@@ -255,6 +259,7 @@
                    },
                    [&](watch_action const& action) {
                        store_.watch(it.kind, action.revision, it.watch_timeout,
+                                    read_age::may_be_old,
                                     [this, &it, current](auto result) {
                                         if (current()) {
                                             on_watched(it, std::move(result));
@@ -271,6 +276,10 @@
         it.mirror.on_page(std::move(*page), core_now());
         on_success(it, true, duration::zero());
         start_other_kinds();
+        if (it.kind == store_kind::manifests && it.mirror.listed()) {
+            floors_.start(it.mirror.revision(), listing_began_);
+        }
+        floors_.on_mirror(it.kind);
         return;
     }
     start_other_kinds();
@@ -283,6 +292,7 @@
     if (auto* const events = std::get_if<store_events>(&result)) {
         bool const changed = !events->events.empty();
         it.mirror.on_events(std::move(*events), core_now());
+        floors_.on_mirror(it.kind);
         on_success(it, changed, it.batch_delay);
         return;
     }
@@ -413,6 +423,7 @@
     if (hosts->mirror.ready()) {
         restore_entry();
         out->hosts = live_hosts();
+        plan_floors_for(out->hosts);
         auto const n = static_cast<std::int64_t>(out->hosts.size());
         upstreams->batch_delay =
             std::clamp(upstream_batch_delay_per_host * n, upstream_batch_delay,
--- a/src/app/forward/forward_control.hpp
+++ b/src/app/forward/forward_control.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/settings/forward_settings.hpp"
+#include "app/forward/floor_keeper.hpp"
 #include "app/forward/forward_snapshot.hpp"
 #include "core/base/rng.hpp"
 #include "core/forward/store_mirror.hpp"
@@ -13,6 +14,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace snipemill {
@@ -31,7 +33,15 @@
     forward_control(forward_control const&) = delete;
     forward_control& operator=(forward_control const&) = delete;
 
+    // Sets how floors of the store reach other hosts. Before start().
+    void pass_floors_with(floor_keeper::send_callback f)
+    {
+        send_floor_ = std::move(f);
+    }
     void start();
+    // A floor that another host has sent.
+    void on_floor(floor_message const& message) { floors_.on_message(message); }
+    void report(forward_metrics& metrics) const { floors_.report(metrics); }
     // Removes this host's entry from the store.
     void deregister();
     // Writes an entry to the store or removes it, and tries again until the
@@ -68,6 +78,11 @@
         bool sent = false; // a call is under way
     };
 
+    floor_keeper::options floor_options(forward_settings const& settings);
+    watcher& watcher_of(store_kind kind);
+    // Applies events that the floor_keeper has read.
+    void on_read(store_kind kind, store_events events);
+    void plan_floors_for(std::vector<fleet_host> const& hosts);
     // Makes the first calls of all kinds but the manifests.
     void start_other_kinds();
     void call(watcher& it);
@@ -107,6 +122,10 @@
     bool started_all_kinds_ = false;
     bool draining_ = false;
     std::shared_ptr<indexed_manifest const> manifest_;
+    time_point listing_began_{};            // of the manifests
+    std::vector<fleet_host> planned_hosts_; // of the last floor_plan
+    floor_keeper::send_callback send_floor_;
+    floor_keeper floors_;
 };
 
 } // namespace snipemill
--- a/src/app/forward/forward_host.cpp
+++ b/src/app/forward/forward_host.cpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/system/system_error.hpp>
 
 #include <algorithm>
 #include <csignal>
@@ -64,6 +65,7 @@
                 traffic_->apply_snapshot(snapshot);
             });
         });
+    open_floor_link();
     traffic_->on_crash([this](crash_entry const& entry, bool added) {
         asio::post(control_io_, [this, entry, added] {
             added ? control_->save_crash(entry) : control_->clear_crash(entry);
@@ -80,6 +82,7 @@
                 traffic_->report();
                 metrics_.set_counter("log_lines_dropped", log_.dropped());
                 asio::post(control_io_, [this, f] {
+                    control_->report(metrics_);
                     f({.content_type = "text/plain; version=0.0.4",
                        .body = metrics_.text()});
                 });
@@ -91,6 +94,27 @@
 
 forward_host::~forward_host() = default;
 
+// A host that cannot use the port reads the store itself.
+void forward_host::open_floor_link()
+{
+    if (!settings_.relay) {
+        return;
+    }
+    try {
+        floor_link_ = std::make_unique<floor_link>(
+            control_io_, settings_.relay->ip, settings_.relay->port,
+            [this](floor_message const& it) { control_->on_floor(it); });
+    }
+    catch (boost::system::system_error const& e) {
+        log_error("floor_link_unavailable", {{"reason", e.what()}});
+        return;
+    }
+    control_->pass_floors_with(
+        [this](fleet_host const& to, floor_message const& message) {
+            floor_link_->send(to, message);
+        });
+}
+
 bool forward_host::run()
 {
     log_info("started", {{"host", settings_.name},
--- a/src/app/forward/forward_host.hpp
+++ b/src/app/forward/forward_host.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/forward/floor_link.hpp"
 #include "adapters/forward/forward_headers.hpp"
 #include "adapters/http/http_server.hpp"
 #include "adapters/logging/line_queue.hpp"
@@ -50,6 +51,7 @@
     bool run();
 
 private:
+    void open_floor_link();
     void wait_signal();
     void on_signal(int number);
     void reload();
@@ -68,6 +70,7 @@
     std::unique_ptr<forward_traffic> traffic_;
     std::unique_ptr<store_port> store_;
     std::unique_ptr<forward_control> control_;
+    std::unique_ptr<floor_link> floor_link_; // null: floors are not exchanged
     std::unique_ptr<http_server> metrics_server_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer settings_timer_;
--- a/src/core/forward/store_mirror.cpp
+++ b/src/core/forward/store_mirror.cpp
@@ -92,6 +92,7 @@
     // The watch from the oldest revision repeats changes that happened between
     // the pages.
     revision_ = oldest_revision_;
+    changed_revision_ = revision_;
     current_listing_ = false;
     outdated_ = false;
     listing_ = false;
@@ -102,6 +103,10 @@
 
 void store_mirror::on_events(store_events&& events, time_point now)
 {
+    outage_ = false;
+    if (events.revision < revision_) {
+        return;
+    }
     for (auto& it : events.events) {
         if (it.deleted) {
             remove(it.entry.name, now + settings_.missing_hold);
@@ -110,8 +115,10 @@
             put(std::move(it.entry));
         }
     }
-    revision_ = std::max(revision_, events.revision);
-    outage_ = false;
+    revision_ = events.revision;
+    if (!events.events.empty()) {
+        changed_revision_ = revision_;
+    }
     confirmed_at_ = now;
 }
 
--- a/src/core/forward/store_mirror.hpp
+++ b/src/core/forward/store_mirror.hpp
@@ -54,6 +54,9 @@
 
     mirror_action next_action() const;
     void on_page(store_page&& page, time_point now);
+    // Events after any revision that this copy has had. An answer that ends
+    // before this copy's revision is ignored: an outdated watch may answer
+    // after a current one.
     void on_events(store_events&& events, time_point now);
     // failures: consecutive failed calls, including this one.
     void on_error(store_error error, std::uint32_t failures);
@@ -69,6 +72,12 @@
     // failed to give one.
     bool ready() const { return listed_; }
     std::uint64_t revision() const { return revision_; }
+    // No entry has changed from this revision on, as far as this copy knows.
+    std::uint64_t changed_revision() const { return changed_revision_; }
+    // Whether the copy is complete and no listing is under way.
+    bool listed() const { return listed_ && !listing_; }
+    // Grows with each listing.
+    std::uint64_t listing_number() const { return generation_; }
     // Removes entries whose hold time is over. Returns whether there were any.
     bool expire(time_point now);
     // Earliest end of a hold time.
@@ -100,6 +109,7 @@
     std::string after_;
     std::uint64_t generation_ = 1;
     std::uint64_t revision_ = 0;
+    std::uint64_t changed_revision_ = 0;
     std::uint64_t oldest_revision_ = 0; // minimum over the pages of a listing
     std::uint64_t required_revision_ = 0;
     bool listing_ = true;
--- a/src/ports/store_port.hpp
+++ b/src/ports/store_port.hpp
@@ -111,9 +111,10 @@
     // Entries after the name, in the order of names; all when it is empty.
     virtual void list(store_kind kind, std::string after, read_age age,
                       store_callback<store_page> f) = 0;
-    // Events after the revision; none after `wait`.
+    // Events after the revision; none after `wait`. The revision of an answer
+    // without events is the one that the store has shown.
     virtual void watch(store_kind kind, std::uint64_t revision, duration wait,
-                       store_callback<store_events> f) = 0;
+                       read_age age, store_callback<store_events> f) = 0;
     // Writes the entry of a host, which is likely to exist or not: a wrong
     // guess costs one more call. The callback tells whether it was written.
     virtual void put_host(std::string name, host_entry entry,
--- a/standins/fleet/store.cpp
+++ b/standins/fleet/store.cpp
@@ -3,6 +3,7 @@
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
+#include <algorithm>
 #include <charconv>
 #include <utility>
 
@@ -37,6 +38,12 @@
     std::string name;
     std::map<std::string, std::string> query;
 
+    bool may_be_outdated() const
+    {
+        auto const it = query.find("stale_ok");
+        return it != query.end() && it->second == "1";
+    }
+
     static std::optional<request_path> read(std::string_view target)
     {
         if (!target.starts_with(root)) {
@@ -101,40 +108,93 @@
     return it != objects_.end() && it->second.contains(name);
 }
 
-void store::append_event(std::string const& kind, std::string const& /*name*/,
+void store::append_event(std::string const& kind, std::string const& name,
                          bool deleted, std::string const& object)
 {
     history_.push_back({.revision = revision_,
+                        .at = std::chrono::steady_clock::now(),
                         .kind = kind,
-                        .text = R"({"object":)" + object + R"(,"deleted":)" +
-                                (deleted ? "true" : "false") + "}"});
+                        .name = name,
+                        .deleted = deleted,
+                        .object = object});
     if (history_.size() > max_history) {
         oldest_revision_ = history_.front().revision;
         history_.pop_front();
     }
     answer_watches();
+    if (outdated_by_ > std::chrono::milliseconds(0)) {
+        auto const timer =
+            std::make_shared<boost::asio::steady_timer>(io_, outdated_by_);
+        timer->async_wait([this, timer](boost::system::error_code ec) {
+            if (!ec) {
+                answer_watches();
+            }
+        });
+    }
+}
+
+std::uint64_t store::visible_revision(bool may_be_outdated) const
+{
+    if (!may_be_outdated || outdated_by_ <= std::chrono::milliseconds(0)) {
+        return revision_;
+    }
+    auto const limit = std::chrono::steady_clock::now() - outdated_by_;
+    std::uint64_t out = 1;
+    for (auto const& it : history_) {
+        if (it.at <= limit) {
+            out = it.revision;
+        }
+    }
+    return out;
+}
+
+store::object_map store::objects_at(std::string const& kind,
+                                    std::uint64_t revision) const
+{
+    auto const found = objects_.find(kind);
+    if (revision == revision_ || found == objects_.end()) {
+        return found == objects_.end() ? object_map() : found->second;
+    }
+    object_map out;
+    for (auto const& it : history_) {
+        if (it.kind != kind || it.revision > revision) {
+            continue;
+        }
+        if (it.deleted) {
+            out.erase(it.name);
+        }
+        else {
+            out[it.name] = it.object;
+        }
+    }
+    return out;
 }
 
+// Events after the revision, up to the last one that the call sees.
 std::optional<std::string> store::events_since(std::string const& kind,
-                                               std::uint64_t revision) const
+                                               std::uint64_t revision,
+                                               std::uint64_t last) const
 {
     std::string out;
     for (auto const& it : history_) {
-        if (it.revision > revision && it.kind == kind) {
-            out += (out.empty() ? "" : ",") + it.text;
+        if (it.revision > revision && it.revision <= last && it.kind == kind) {
+            out += (out.empty() ? "" : ",");
+            out += R"({"object":)" + it.object + R"(,"deleted":)" +
+                   (it.deleted ? "true" : "false") + "}";
         }
     }
     if (out.empty()) {
         return std::nullopt;
     }
     return R"({"events":[)" + out + R"(],"store_revision":)" +
-           std::to_string(revision_) + "}";
+           std::to_string(last) + "}";
 }
 
 void store::answer_watches()
 {
     for (auto it = watches_.begin(); it != watches_.end();) {
-        auto events = events_since(it->kind, it->revision);
+        auto events = events_since(it->kind, it->revision,
+                                   visible_revision(it->may_be_outdated));
         if (!events) {
             ++it;
             continue;
@@ -158,6 +218,8 @@
         respond({.status = 404, .body = "{}"});
         return nullptr;
     }
+    current_reads_ +=
+        request.method == "GET" && !path->may_be_outdated() ? 1 : 0;
     if (request.method == "GET" && path->query.contains("watch")) {
         return watch(*path, respond);
     }
@@ -174,24 +236,22 @@
 {
     json::array items;
     bool truncated = false;
-    auto const kind = objects_.find(path.kind);
+    auto const revision = visible_revision(path.may_be_outdated());
+    auto const objects = objects_at(path.kind, revision);
     auto const after = path.query.find("after");
-    if (kind != objects_.end()) {
-        auto it = after == path.query.end()
-                      ? kind->second.begin()
-                      : kind->second.upper_bound(after->second);
-        for (; it != kind->second.end(); ++it) {
-            if (items.size() == page_size) {
-                truncated = true;
-                break;
-            }
-            items.push_back(json::parse(it->second));
+    auto it = after == path.query.end() ? objects.begin()
+                                        : objects.upper_bound(after->second);
+    for (; it != objects.end(); ++it) {
+        if (items.size() == page_size) {
+            truncated = true;
+            break;
         }
+        items.push_back(json::parse(it->second));
     }
     return {.body =
                 json::serialize(json::object{{"items", std::move(items)},
                                              {"truncated", truncated},
-                                             {"store_revision", revision_}})};
+                                             {"store_revision", revision}})};
 }
 
 std::function<void()> store::watch(request_path const& path,
@@ -202,7 +262,9 @@
         respond({.status = 410, .body = "{}"});
         return nullptr;
     }
-    if (auto events = events_since(path.kind, from)) {
+    bool const may_be_outdated = path.may_be_outdated();
+    if (auto events =
+            events_since(path.kind, from, visible_revision(may_be_outdated))) {
         respond({.body = std::move(*events)});
         return nullptr;
     }
@@ -213,6 +275,7 @@
         watches_.end(),
         {.kind = path.kind,
          .revision = from,
+         .may_be_outdated = may_be_outdated,
          .respond = respond,
          .timer = std::make_unique<boost::asio::steady_timer>(io_, ms)});
     it->timer->async_wait([this, it](boost::system::error_code ec) {
@@ -220,9 +283,11 @@
             return;
         }
         auto const reply = std::move(it->respond);
+        auto const revision =
+            std::max(it->revision, visible_revision(it->may_be_outdated));
         watches_.erase(it);
         reply({.body = R"({"events":[],"store_revision":)" +
-                       std::to_string(revision_) + "}"});
+                       std::to_string(revision) + "}"});
     });
     auto const* const timer = it->timer.get();
     return [this, timer] {
--- a/standins/fleet/store.hpp
+++ b/standins/fleet/store.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <deque>
 #include <list>
@@ -40,24 +41,33 @@
     void remove(std::string const& kind, std::string const& name);
     bool has(std::string const& kind, std::string const& name) const;
     void set_state(store_state state) { state_ = state; }
+    // Calls that accept outdated data see the store as it was that long ago.
+    void set_outdated_by(std::chrono::milliseconds lag) { outdated_by_ = lag; }
     // Drops the history. Watches from an earlier revision get 410.
     void compact() { oldest_revision_ = revision_; }
     std::uint64_t calls() const { return calls_; }
+    // Reads that do not accept outdated data.
+    std::uint64_t current_reads() const { return current_reads_; }
 
 private:
     struct event
     {
         std::uint64_t revision = 0;
+        std::chrono::steady_clock::time_point at;
         std::string kind;
-        std::string text; // JSON of the event in an answer to a watch
+        std::string name;
+        bool deleted = false;
+        std::string object; // JSON
     };
     struct waiting_watch
     {
         std::string kind;
         std::uint64_t revision = 0;
+        bool may_be_outdated = false;
         snipemill::http_responder respond;
         std::unique_ptr<boost::asio::steady_timer> timer;
     };
+    using object_map = std::map<std::string, std::string>; // JSON by name
     using watch_list = std::list<waiting_watch>;
     struct request_path;
 
@@ -66,10 +76,15 @@
     snipemill::http_response write(snipemill::http_request const& request,
                                    request_path const& path);
     snipemill::http_response list(request_path const& path) const;
+    // Revision that a call sees.
+    std::uint64_t visible_revision(bool may_be_outdated) const;
+    object_map objects_at(std::string const& kind,
+                          std::uint64_t revision) const;
     std::function<void()> watch(request_path const& path,
                                 snipemill::http_responder const& respond);
     std::optional<std::string> events_since(std::string const& kind,
-                                            std::uint64_t revision) const;
+                                            std::uint64_t revision,
+                                            std::uint64_t last) const;
     void append_event(std::string const& kind, std::string const& name,
                       bool deleted, std::string const& object);
     void answer_watches();
@@ -79,7 +94,9 @@
     std::uint64_t revision_ = 1;
     std::uint64_t oldest_revision_ = 0; // watches from before it get 410
     std::uint64_t calls_ = 0;
-    std::map<std::string, std::map<std::string, std::string>> objects_;
+    std::uint64_t current_reads_ = 0;
+    std::chrono::milliseconds outdated_by_{};
+    std::map<std::string, object_map> objects_;
     std::deque<event> history_;
     watch_list watches_;
     snipemill::http_server server_;
--- a/tests/core/forward/store_mirror_test.cpp
+++ b/tests/core/forward/store_mirror_test.cpp
@@ -158,3 +158,21 @@
     CHECK(std::get<list_action>(mirror.next_action()).age == read_age::current);
     STRCMP_EQUAL("a", names().c_str());
 }
+
+// A watch that accepts outdated data answers after a current read. Guards
+// against a copy that goes back to the older state.
+TEST(store_mirror, ignores_events_that_end_before_its_revision)
+{
+    mirror.on_page(page({entry("a")}, 10), now);
+    mirror.on_events({.events = {{.entry = entry("b")}}, .revision = 20}, now);
+    mirror.on_events({.events = {{.entry = entry("a", true)},
+                                 {.entry = entry("c"), .deleted = false}},
+                      .revision = 15},
+                     now);
+    STRCMP_EQUAL("ab", names().c_str());
+    UNSIGNED_LONGS_EQUAL(20, mirror.revision());
+    UNSIGNED_LONGS_EQUAL(20, mirror.changed_revision());
+    mirror.on_events({.revision = 25}, now);
+    UNSIGNED_LONGS_EQUAL(25, mirror.revision());
+    UNSIGNED_LONGS_EQUAL(20, mirror.changed_revision());
+}
--- a/tests/platform/object_store_test.cpp
+++ b/tests/platform/object_store_test.cpp
@@ -39,6 +39,7 @@
     void watch()
     {
         store.watch(store_kind::manifests, 530, from_ms(200),
+                    read_age::may_be_old,
                     [this](auto result) { events = std::move(result); });
     }
     // Waits for a request and returns its request line.
@@ -76,6 +77,15 @@
     UNSIGNED_LONGS_EQUAL(531, std::get<store_events>(*events).revision);
 }
 
+// Guards against a read of a kind that is behind which gets outdated data too.
+TEST(object_store, a_current_read_does_not_accept_outdated_data)
+{
+    store.watch(store_kind::manifests, 530, duration::zero(), read_age::current,
+                [this](auto result) { events = std::move(result); });
+    STRCMP_EQUAL("GET /v1/objects/config?watch=530&wait_ms=0 HTTP/1.1",
+                 request().c_str());
+}
+
 // Guards against a host that is never counted because a replace fails while its
 // entry does not exist, and against a restarted host whose create fails because
 // its previous process left an entry.
--- /dev/null
+++ b/tests/process/forward_fixture.hpp
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "fleet/test_fleet.hpp"
+#include "platform/names.hpp"
+#include "support/raw_peer.hpp"
+
+#include <CppUTest/TestHarness.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <filesystem>
+#include <optional>
+#include <string>
+
+namespace snipemill::test {
+
+// The real forwarding hosts between a stand-in store and stand-in upstreams.
+class forward_fixture
+{
+public:
+    explicit forward_fixture(std::string const& test)
+        : folder_(std::filesystem::temp_directory_path() /
+                  (test + "-" + std::to_string(getpid())))
+    {
+        std::filesystem::remove_all(folder_);
+        std::filesystem::create_directories(folder_);
+    }
+    ~forward_fixture()
+    {
+        fleet.reset();
+        std::filesystem::remove_all(folder_);
+    }
+    forward_fixture(forward_fixture const&) = delete;
+    forward_fixture& operator=(forward_fixture const&) = delete;
+
+    // Starts the hosts and waits until they are ready.
+    void start(std::size_t hosts, unsigned route_timeout_ms)
+    {
+        fleet.emplace(io, soak::fleet_options{.program = SNIPEMILL_PROGRAM,
+                                              .folder = folder_,
+                                              .hosts = hosts,
+                                              .replicas = 5});
+        auto state = fleet->manifest();
+        state.version += 1;
+        state.timeout_ms = route_timeout_ms;
+        fleet->publish(state);
+        for (auto const& it : fleet->hosts()) {
+            CHECK(run_until(io, [&] { return is_ready(*it); }));
+        }
+    }
+    bool is_ready(soak::host const& it)
+    {
+        boost::asio::ip::tcp::socket probe(io);
+        boost::system::error_code ec;
+        probe.connect(
+            {boost::asio::ip::address_v4::loopback(), it.readiness_port}, ec);
+        if (ec) {
+            return false;
+        }
+        auto const peer = raw_peer::connect(io, it.readiness_port);
+        peer->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        run_until(io, [&] { return peer->closed || peer->has("\r\n\r\n"); });
+        return peer->has("HTTP/1.1 200");
+    }
+    void run_for(std::chrono::milliseconds time)
+    {
+        auto const end = std::chrono::steady_clock::now() + time;
+        run_until(io, [&] { return std::chrono::steady_clock::now() >= end; });
+    }
+    static std::string request(std::string const& path, std::string const& id,
+                               unsigned time_left_ms)
+    {
+        namespace names = platform::names;
+        return "GET " + path + " HTTP/1.1\r\nHost: soak\r\n" +
+               names::request_id + ": " + id + "\r\n" + names::time_left +
+               ": " + std::to_string(time_left_ms) + "\r\n\r\n";
+    }
+
+    boost::asio::io_context io;
+    std::optional<soak::test_fleet> fleet;
+
+private:
+    std::filesystem::path folder_;
+};
+
+} // namespace snipemill::test
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -1,21 +1,13 @@
-#include "fleet/test_fleet.hpp"
-#include "platform/names.hpp"
-#include "support/raw_peer.hpp"
+#include "forward_fixture.hpp"
 #include "testbed/fleet.hpp"
 #include "testbed/submit_load.hpp"
 
-#include <CppUTest/TestHarness.h>
-#include <unistd.h>
-
 #include <csignal>
-#include <filesystem>
 
 using namespace snipemill::test;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-namespace names = snipemill::platform::names;
-
 namespace {
 
 // Time from SIGTERM to SIGKILL, the default of the hosts' settings.
@@ -26,20 +18,9 @@
 constexpr milliseconds work_time{2500};
 constexpr milliseconds wide_query_interval{100};
 
-std::filesystem::path folder_of_this_run()
-{
-    auto out = std::filesystem::temp_directory_path() /
-               ("planned-stop-" + std::to_string(getpid()));
-    std::filesystem::remove_all(out);
-    std::filesystem::create_directories(out);
-    return out;
-}
-
 std::string request(std::string const& path, std::string const& id)
 {
-    return "GET " + path + " HTTP/1.1\r\nHost: soak\r\n" + names::request_id +
-           ": " + id + "\r\n" + names::time_left + ": " +
-           std::to_string(time_left_ms) + "\r\n\r\n";
+    return forward_fixture::request(path, id, time_left_ms);
 }
 
 // A caller with a connection of its own.
@@ -57,42 +38,17 @@
 // The real hosts between a stand-in store and stand-in upstreams.
 TEST_GROUP(planned_stop)
 {
-    boost::asio::io_context io;
-    std::filesystem::path folder = folder_of_this_run();
-    std::optional<soak::test_fleet> fleet;
+    forward_fixture f{"planned-stop"};
+    boost::asio::io_context& io = f.io;
+    std::optional<soak::test_fleet>& fleet = f.fleet;
 
     void start(std::size_t hosts)
     {
-        fleet.emplace(io, soak::fleet_options{.program = SNIPEMILL_PROGRAM,
-                                              .folder = folder,
-                                              .hosts = hosts,
-                                              .replicas = 5});
-        auto state = fleet->manifest();
-        state.version += 1;
-        state.timeout_ms = route_timeout_ms;
-        fleet->publish(state);
-        for (auto const& it : fleet->hosts()) {
-            CHECK(run_until(io, [&] { return is_ready(*it); }));
-        }
-    }
-    void teardown() override
-    {
-        fleet.reset();
-        std::filesystem::remove_all(folder);
+        f.start(hosts, route_timeout_ms);
     }
-    bool is_ready(soak::host const& it)
+    void run_for(milliseconds time)
     {
-        boost::asio::ip::tcp::socket probe(io);
-        boost::system::error_code ec;
-        probe.connect(
-            {boost::asio::ip::address_v4::loopback(), it.readiness_port}, ec);
-        if (ec) {
-            return false;
-        }
-        auto const peer = raw_peer::connect(io, it.readiness_port);
-        peer->send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
-        run_until(io, [&] { return peer->closed || peer->has("\r\n\r\n"); });
-        return peer->has("HTTP/1.1 200");
+        f.run_for(time);
     }
     // Opens a connection and uses it once.
     caller open(soak::host const& to, std::string const& path,
@@ -110,11 +66,6 @@
         out.connection->in.clear();
         return out;
     }
-    void run_for(milliseconds time)
-    {
-        auto const end = std::chrono::steady_clock::now() + time;
-        run_until(io, [&] { return std::chrono::steady_clock::now() >= end; });
-    }
     void set_work(milliseconds work)
     {
         for (auto const& it : fleet->upstreams()) {
