Bound the memory of messages that are being received

Reported by operators of similar systems: a peer sends bytes without end, the host keeps them and runs out of memory, and all its callers' requests end with it (LOST). It could happen here: a caller that never ends the size line of a chunk or a trailer made the host keep every byte; the answers of many upstreams (in forward those below 1 MB, in serve all), of the store on all its connections, and the incomplete messages of other hosts on many streams were bounded one by one only, to hundreds of megabytes together.

adapters/net/receive_budget counts the bytes of messages that are being received and ends the receiver that holds most when they are too many, so that small messages go on. Upstreams, the store, other hosts and callers of both interfaces use it in place of the bound that forward had for upstreams alone. A caller gets 503 "not run" with Retry-After; a line without end in a body gets 431.

--- a/src/adapters/forward/upstream_links.cpp
+++ b/src/adapters/forward/upstream_links.cpp
@@ -43,10 +43,10 @@
                                std::function<time_point()> now,
                                reach_callback on_reach)
     : io_(io), fleet_(fleet), names_(names), settings_(settings),
-      now_(std::move(now)), on_reach_(std::move(on_reach)), release_timer_(io)
-{
-    memory_->limit = settings_.max_total_answer_bytes;
-}
+      now_(std::move(now)), on_reach_(std::move(on_reach)), release_timer_(io),
+      memory_(
+          std::make_shared<receive_budget>(settings_.max_total_answer_bytes))
+{}
 
 upstream_links::~upstream_links()
 {
@@ -252,8 +252,8 @@
 // A connection that has carried the request is left to other requests. When no
 // other one is idle, the longest idle one is closed, so that the connection
 // that is opened instead is not one more.
-upstream_links::connection_ptr upstream_links::take_idle(upstream_link& it,
-                                                         std::string const& id)
+upstream_links::connection_ptr
+upstream_links::take_idle(upstream_link& it, std::string const& id)
 {
     auto const oldest = now_() - it.idle_timeout;
     std::vector<idle_connection> passed_over;
--- a/src/adapters/forward/upstream_links.hpp
+++ b/src/adapters/forward/upstream_links.hpp
@@ -43,7 +43,7 @@
     duration silence_limit = from_ms(2000);
     std::size_t max_answer_bytes = 16 * 1024 * 1024;
     // Of all answers that are being received. The smallest hosts have 160 MB,
-    // and a string may take twice its size while it grows.
+    // and a string may take three times its size while it grows.
     std::size_t max_total_answer_bytes = 32 * 1024 * 1024;
 };
 
@@ -91,7 +91,9 @@
     std::size_t open_exchanges() const { return exchanges_.size(); }
     link_counters const& counters() const { return counters_; }
     // Bytes of answers that are being received.
-    std::size_t answer_bytes() const { return memory_->used; }
+    std::size_t answer_bytes() const { return memory_->used(); }
+    // Answers that were ended because all together took too much memory.
+    std::uint64_t answers_over_memory() const { return memory_->ended(); }
 
 private:
     using connection_ptr = std::shared_ptr<client_connection>;
@@ -170,7 +172,7 @@
     time_point release_at_ = time_point::max(); // expiry of release_timer_
     exchange_id next_id_ = 1;
     link_counters counters_;
-    std::shared_ptr<answer_memory> memory_ = std::make_shared<answer_memory>();
+    std::shared_ptr<receive_budget> memory_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/adapters/http/client_connection.cpp
+++ b/src/adapters/http/client_connection.cpp
@@ -67,6 +67,11 @@
       bytes_(std::move(bytes))
 {}
 
+void client_connection::limit_memory(std::shared_ptr<receive_budget> budget)
+{
+    received_.emplace(std::move(budget), [this] { close(); });
+}
+
 void client_connection::connect(tcp::endpoint const& to, duration timeout,
                                 std::function<void(bool)> f)
 {
@@ -265,8 +270,8 @@
     auto const room = buffer_.prepare(n);
     buffer_.commit(asio::buffer_copy(room, asio::buffer(input_, n)));
     boost::system::error_code ec;
-    if (!within_bounds(n) || !feed(ec) || skipped_ > max_skipped_answers ||
-        buffer_.size() > max_answer_header) {
+    if ((received_ && !received_->add(n)) || !feed(ec) ||
+        skipped_ > max_skipped_answers || buffer_.size() > max_answer_header) {
         fail(exchange_fault::malformed);
         return;
     }
@@ -329,26 +334,6 @@
     return true;
 }
 
-// Counts received bytes. Returns false when the answer uses too much of the
-// shared memory.
-bool client_connection::within_bounds(std::size_t n)
-{
-    if (!memory_) {
-        return true;
-    }
-    received_ += n;
-    memory_->used += n;
-    return memory_->used <= memory_->limit || received_ <= memory_->small;
-}
-
-void client_connection::release_memory()
-{
-    if (memory_) {
-        memory_->used -= received_;
-        received_ = 0;
-    }
-}
-
 void client_connection::on_end_of_input()
 {
     if (!answer_started_) {
@@ -397,7 +382,9 @@
     }
     ++exchanges_;
     echo_header_.clear();
-    release_memory();
+    if (received_) {
+        received_->release();
+    }
     auto const f = std::exchange(on_result_, nullptr);
     if (keep) {
         state_ = state::idle;
@@ -440,7 +427,9 @@
 void client_connection::shut()
 {
     state_ = state::closed;
-    release_memory();
+    if (received_) {
+        received_->release();
+    }
     timer_.cancel();
     boost::system::error_code ignored;
     socket_.close(ignored);
--- a/src/adapters/http/client_connection.hpp
+++ b/src/adapters/http/client_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http/http_server.hpp"
 #include "adapters/net/byte_count.hpp"
+#include "adapters/net/receive_budget.hpp"
 #include "core/base/recent_ids.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -38,15 +39,6 @@
     bool sent = false; // a byte of the request may have left
 };
 
-// Memory for answers that are being received, shared by connections. Bounds
-// what faulty servers can use up together by sending bodies without end.
-struct answer_memory
-{
-    std::size_t limit = 0;       // bytes
-    std::size_t small = 1 << 20; // answers up to this size are never ended
-    std::size_t used = 0;        // bytes of answers that are not yet complete
-};
-
 using exchange_result = std::variant<http_response, exchange_failed>;
 
 // Writes a request as HTTP/1.1 text. host is the value of the Host header.
@@ -70,11 +62,9 @@
     // Counts the connection as broken when the server does not acknowledge
     // for this long; 0: the system's default. Before connect().
     void limit_silence(duration limit) { silence_limit_ = limit; }
-    // Ends an answer that exceeds the memory. Before connect().
-    void limit_memory(std::shared_ptr<answer_memory> memory)
-    {
-        memory_ = std::move(memory);
-    }
+    // Counts the answer that is being received in a budget that connections
+    // share. Before connect().
+    void limit_memory(std::shared_ptr<receive_budget> budget);
     // Skips answers whose header (lower case) has another value: they belong
     // to an earlier request. Without that header the answer cannot be told from
     // a late copy of an earlier one, so it is accepted only as the first of its
@@ -139,8 +129,6 @@
     bool is_identified() const;
     void set_silence_limit();
     void on_end_of_input();
-    bool within_bounds(std::size_t n);
-    void release_memory();
     void finish();
     void fail(exchange_fault fault);
     void shut();
@@ -150,8 +138,7 @@
     boost::asio::steady_timer timer_;
     std::size_t max_body_;
     std::shared_ptr<byte_count> bytes_;
-    std::shared_ptr<answer_memory> memory_;
-    std::size_t received_ = 0;     // bytes of the open answer
+    std::optional<receive_budget::share> received_; // of the open answer
     std::uint32_t skipped_ = 0;    // answers before that to the open exchange
     std::array<char, 8192> input_; // of the pending read
     boost::beast::flat_buffer buffer_;
--- a/src/adapters/http/client_pool.cpp
+++ b/src/adapters/http/client_pool.cpp
@@ -94,6 +94,9 @@
         auto const it = std::make_shared<client_connection>(
             io_, options_.max_body, options_.bytes);
         it->limit_silence(options_.silence_limit);
+        if (options_.memory) {
+            it->limit_memory(options_.memory);
+        }
         all_.insert(it);
         ++connecting_;
         it->on_closed([weak = weak_from_this(), ptr = it.get()] {
--- a/src/adapters/http/http_client.hpp
+++ b/src/adapters/http/http_client.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http/http_server.hpp"
 #include "adapters/net/byte_count.hpp"
+#include "adapters/net/receive_budget.hpp"
 #include "core/base/error.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -26,6 +27,8 @@
     // system's default.
     duration silence_limit{};
     std::shared_ptr<byte_count> bytes; // counts here, unless it is null
+    // For the answers that are being received; null: max_body for each alone.
+    std::shared_ptr<receive_budget> memory;
 };
 
 // The request had no answer; sent tells whether a byte may have left.
--- a/src/adapters/http/http_server.hpp
+++ b/src/adapters/http/http_server.hpp
@@ -25,6 +25,9 @@
     // Between two pieces of a body; header_timeout then holds for the header
     // alone. 0: header_timeout holds for the whole request.
     duration body_timeout{};
+    // Of all requests that are being received. The largest of them is refused
+    // when they need more.
+    std::size_t max_received = 32 * 1024 * 1024; // bytes
     std::size_t max_connections = 10'000;
     bool reuse_port = false; // several lanes listen on one port
 };
--- a/src/adapters/http/server_connection.cpp
+++ b/src/adapters/http/server_connection.cpp
@@ -83,7 +83,8 @@
 
 server_connection::server_connection(std::shared_ptr<server_core> core,
                                      tcp::socket socket)
-    : core_(std::move(core)), socket_(std::move(socket)), timer_(core_->io())
+    : core_(std::move(core)), socket_(std::move(socket)), timer_(core_->io()),
+      received_(core_->budget(), [this] { reject_for_memory(); })
 {
     boost::system::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
@@ -144,6 +145,10 @@
     switch (state_) {
     case state::idle:
     case state::receiving:
+        if (!received_.add(n)) {
+            reject_for_memory();
+            return;
+        }
         parse();
         return;
     case state::lingering:
@@ -198,6 +203,10 @@
         dispatch();
         return;
     }
+    if (has_endless_line()) {
+        reject(http::error::header_limit);
+        return;
+    }
     if (parser_->is_header_done()) {
         if (core_->options().body_timeout > duration::zero()) {
             arm(core_->options().body_timeout);
@@ -224,6 +233,13 @@
     return true;
 }
 
+// The parser consumes the size line of a chunk and the trailer of a body only
+// when they are complete, and does not limit them.
+bool server_connection::has_endless_line() const
+{
+    return buffer_.size() > core_->options().max_header;
+}
+
 void server_connection::send_continue()
 {
     if (continue_sent_ ||
@@ -240,6 +256,7 @@
 {
     timer_.cancel();
     ++timer_generation_;
+    received_.release();
     state_ = state::handling;
     auto message = parser_->release();
     keep_alive_ = message.keep_alive();
@@ -322,13 +339,28 @@
     message.set(http::field::content_type, "application/json");
     keep_alive_ = false;
     message.keep_alive(false);
+    if (status == 503) {
+        message.set(http::field::retry_after, "1");
+    }
     message.body() = write_error_body(f);
     message.prepare_payload();
     write(std::move(message));
 }
 
+// Also called while another connection receives.
+void server_connection::reject_for_memory()
+{
+    ++core_->bad_requests;
+    parser_.reset();
+    buffer_.consume(buffer_.size());
+    reject(503, {.code = errc::overloaded,
+                 .run = run_state::not_run,
+                 .detail = "too much memory is used by requests that arrive"});
+}
+
 void server_connection::write(response message)
 {
+    received_.release();
     state_ = state::writing;
     response_ = std::make_shared<response>(std::move(message));
     arm(core_->options().idle_timeout);
@@ -436,6 +468,7 @@
     request_done();
     ++timer_generation_;
     timer_.cancel();
+    received_.release();
     boost::system::error_code ignored;
     socket_.close(ignored);
     core_->remove(shared_from_this());
--- a/src/adapters/http/server_connection.hpp
+++ b/src/adapters/http/server_connection.hpp
@@ -62,6 +62,8 @@
     bool feed(boost::system::error_code& ec);
     void send_continue();
     void dispatch();
+    bool has_endless_line() const;
+    void reject_for_memory();
     void reject(boost::system::error_code ec);
     void reject(unsigned status, failure const& f);
     void write(response message);
@@ -79,6 +81,7 @@
     std::array<char, 8192> input_; // of the pending read
     boost::beast::flat_buffer buffer_;
     std::optional<parser> parser_;
+    receive_budget::share received_; // of the request that is being received
     std::shared_ptr<response> response_;
     std::function<void()> on_gone_;
     std::chrono::steady_clock::time_point first_byte_{};
--- a/src/adapters/http/server_core.cpp
+++ b/src/adapters/http/server_core.cpp
@@ -20,6 +20,7 @@
                          http_server_options const& options,
                          http_handler handler)
     : io_(io), options_(options), handler_(std::move(handler)),
+      budget_(std::make_shared<receive_budget>(options.max_received)),
       listener_(std::make_shared<accept_loop>(io, options_.ip, options_.port,
                                               options_.reuse_port))
 {}
--- a/src/adapters/http/server_core.hpp
+++ b/src/adapters/http/server_core.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http/http_server.hpp"
 #include "adapters/net/accept_loop.hpp"
+#include "adapters/net/receive_budget.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -35,6 +36,7 @@
     bool reuse_refused() const { return reuse_refused_ || draining_; }
     std::size_t open_connections() const { return connections_.size(); }
     std::uint16_t port() const { return listener_->port(); }
+    std::shared_ptr<receive_budget> const& budget() const { return budget_; }
 
     std::size_t open_requests = 0;
     std::uint64_t bad_requests = 0;
@@ -45,6 +47,7 @@
     boost::asio::io_context& io_;
     http_server_options options_;
     http_handler handler_;
+    std::shared_ptr<receive_budget> budget_;
     std::shared_ptr<accept_loop> listener_;
     std::unordered_set<std::shared_ptr<server_connection>> connections_;
     bool draining_ = false;
--- a/src/adapters/peer/h2_session.cpp
+++ b/src/adapters/peer/h2_session.cpp
@@ -58,10 +58,12 @@
 
 h2_session::h2_session(tcp::socket socket, h2_role role,
                        peer_link_options const& options,
-                       std::shared_ptr<peer_counters> counters, h2_hooks hooks)
+                       std::shared_ptr<peer_counters> counters,
+                       std::shared_ptr<receive_budget> budget, h2_hooks hooks)
     : socket_(std::move(socket)), timer_(socket_.get_executor()),
       linger_timer_(socket_.get_executor()), role_(role), options_(options),
-      counters_(std::move(counters)), hooks_(std::move(hooks)),
+      counters_(std::move(counters)), budget_(std::move(budget)),
+      hooks_(std::move(hooks)),
       keep_alive_(role == h2_role::client ? client_keep_alive
                                           : server_keep_alive)
 {
@@ -202,6 +204,17 @@
 void h2_session::add(std::int32_t id, std::shared_ptr<h2_stream> stream)
 {
     stream->id = id;
+    // Posted, because another session ends the stream inside its own input.
+    stream->received.emplace(budget_, [executor = timer_.get_executor(),
+                                       weak = weak_from_this(), id] {
+        asio::post(executor, [weak, id] {
+            auto const self = weak.lock();
+            auto* const it = self ? self->find(id) : nullptr;
+            if (it) {
+                self->end_too_large(*it);
+            }
+        });
+    });
     streams_[id] = std::move(stream);
     watch();
 }
@@ -233,13 +246,20 @@
     bool const fits = stream->splitter.feed(bytes, [&](std::string message) {
         stream->on_message(std::move(message));
     });
-    if (!fits) {
-        ++counters_->protocol_errors;
-        stream->on_too_large();
-        reset(*stream, NGHTTP2_ENHANCE_YOUR_CALM);
+    bool const has_room =
+        stream->received->hold(stream->splitter.pending_bytes());
+    if (!fits || !has_room) {
+        end_too_large(*stream);
     }
 }
 
+void h2_session::end_too_large(h2_stream& stream)
+{
+    ++counters_->protocol_errors;
+    stream.on_too_large();
+    reset(stream, NGHTTP2_ENHANCE_YOUR_CALM);
+}
+
 void h2_session::read()
 {
     socket_.async_read_some(
--- a/src/adapters/peer/h2_session.hpp
+++ b/src/adapters/peer/h2_session.hpp
@@ -48,7 +48,8 @@
 public:
     h2_session(boost::asio::ip::tcp::socket socket, h2_role role,
                peer_link_options const& options,
-               std::shared_ptr<peer_counters> counters, h2_hooks hooks);
+               std::shared_ptr<peer_counters> counters,
+               std::shared_ptr<receive_budget> budget, h2_hooks hooks);
     ~h2_session();
     h2_session(h2_session const&) = delete;
     h2_session& operator=(h2_session const&) = delete;
@@ -85,6 +86,8 @@
     h2_stream* find(std::int32_t id);
     void close_stream(std::int32_t id, std::uint32_t error);
     void on_data(std::int32_t id, std::string_view bytes);
+    // Resets a stream whose messages take too much memory.
+    void end_too_large(h2_stream& stream);
 
     void read();
     void on_read(boost::system::error_code ec, std::size_t n);
@@ -107,6 +110,7 @@
     h2_role role_;
     peer_link_options options_;
     std::shared_ptr<peer_counters> counters_;
+    std::shared_ptr<receive_budget> budget_;
     h2_hooks hooks_;
     nghttp2_session* session_ = nullptr;
     std::unordered_map<std::int32_t, std::shared_ptr<h2_stream>> streams_;
--- a/src/adapters/peer/h2_stream.hpp
+++ b/src/adapters/peer/h2_stream.hpp
@@ -1,9 +1,11 @@
 #pragma once
 
+#include "adapters/net/receive_budget.hpp"
 #include "adapters/peer/length_prefix.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -39,7 +41,8 @@
 
     std::int32_t id = 0;
     message_splitter splitter;
-    std::string out;        // bytes to send
+    std::optional<receive_budget::share> received; // by the splitter
+    std::string out;                               // bytes to send
     std::size_t out_at = 0; // bytes of out that have been framed
     bool out_end = false;   // the stream ends after out
     bool deferred = false;  // framing has paused for lack of bytes
--- a/src/adapters/peer/length_prefix.hpp
+++ b/src/adapters/peer/length_prefix.hpp
@@ -22,6 +22,7 @@
               std::function<void(std::string)> const& f);
     // Whether part of a message has arrived.
     bool partial() const { return !pending_.empty(); }
+    std::size_t pending_bytes() const { return pending_.size(); }
 
 private:
     std::size_t take(std::string_view bytes,
--- a/src/adapters/peer/peer_acceptor.cpp
+++ b/src/adapters/peer/peer_acceptor.cpp
@@ -15,6 +15,7 @@
     : options_(options),
       handler_(std::make_shared<peer_handler const>(std::move(handler))),
       counters_(std::make_shared<peer_counters>()),
+      budget_(std::make_shared<receive_budget>(options.max_received)),
       listener_(std::make_shared<accept_loop>(io, options_.ip, options_.port,
                                               options_.reuse_port))
 {}
@@ -42,9 +43,9 @@
             self->sessions_.erase(session);
         }
     };
-    auto const session =
-        std::make_shared<h2_session>(std::move(socket), h2_role::server,
-                                     options_, counters_, std::move(hooks));
+    auto const session = std::make_shared<h2_session>(
+        std::move(socket), h2_role::server, options_, counters_, budget_,
+        std::move(hooks));
     *link = session;
     sessions_.insert(session);
     session->start();
--- a/src/adapters/peer/peer_acceptor.hpp
+++ b/src/adapters/peer/peer_acceptor.hpp
@@ -34,6 +34,7 @@
     peer_link_options options_;
     std::shared_ptr<peer_handler const> handler_;
     std::shared_ptr<peer_counters> counters_;
+    std::shared_ptr<receive_budget> budget_;
     std::shared_ptr<accept_loop> listener_;
     std::unordered_set<std::shared_ptr<h2_session>> sessions_;
 };
--- a/src/adapters/peer/peer_client.cpp
+++ b/src/adapters/peer/peer_client.cpp
@@ -15,7 +15,8 @@
 public:
     impl(boost::asio::io_context& io, peer_link_options const& options)
         : io_(io), options_(options),
-          counters_(std::make_shared<peer_counters>())
+          counters_(std::make_shared<peer_counters>()),
+          budget_(std::make_shared<receive_budget>(options.max_received))
     {}
 
     std::shared_ptr<peer_stream> open(peer_address const& to,
@@ -92,7 +93,7 @@
         }
         if (!it) {
             it = std::make_shared<peer_connection>(io_, to, options_, counters_,
-                                                   on_silence_);
+                                                   budget_, on_silence_);
         }
         return it;
     }
@@ -100,6 +101,7 @@
     boost::asio::io_context& io_;
     peer_link_options options_;
     std::shared_ptr<peer_counters> counters_;
+    std::shared_ptr<receive_budget> budget_;
     silence_hook on_silence_;
     std::unordered_map<host_id, std::shared_ptr<peer_connection>> peers_;
     std::vector<std::shared_ptr<peer_connection>> closing_; // by close_later
--- a/src/adapters/peer/peer_connection.cpp
+++ b/src/adapters/peer/peer_connection.cpp
@@ -26,11 +26,13 @@
 peer_connection::peer_connection(asio::io_context& io, peer_address address,
                                  peer_link_options const& options,
                                  std::shared_ptr<peer_counters> counters,
+                                 std::shared_ptr<receive_budget> budget,
                                  silence_hook on_silence)
     : io_(io), address_(std::move(address)),
       authority_(address_.ip + ":" + std::to_string(address_.port)),
-      options_(options), counters_(std::move(counters)), socket_(io),
-      timer_(io), again_timer_(io), on_silence_(std::move(on_silence))
+      options_(options), counters_(std::move(counters)),
+      budget_(std::move(budget)), socket_(io), timer_(io), again_timer_(io),
+      on_silence_(std::move(on_silence))
 {}
 
 void peer_connection::open(std::shared_ptr<client_stream> const& stream)
@@ -157,9 +159,9 @@
             self->set_silent(silent);
         }
     };
-    session_ =
-        std::make_shared<h2_session>(std::move(socket_), h2_role::client,
-                                     options_, counters_, std::move(hooks));
+    session_ = std::make_shared<h2_session>(std::move(socket_), h2_role::client,
+                                            options_, counters_, budget_,
+                                            std::move(hooks));
     *link = session_.get();
     session_->start(silent_);
 }
--- a/src/adapters/peer/peer_connection.hpp
+++ b/src/adapters/peer/peer_connection.hpp
@@ -29,6 +29,7 @@
     peer_connection(boost::asio::io_context& io, peer_address address,
                     peer_link_options const& options,
                     std::shared_ptr<peer_counters> counters,
+                    std::shared_ptr<receive_budget> budget,
                     silence_hook on_silence);
 
     peer_address const& address() const { return address_; }
@@ -57,6 +58,7 @@
     std::string authority_;
     peer_link_options options_;
     std::shared_ptr<peer_counters> counters_;
+    std::shared_ptr<receive_budget> budget_;
     boost::asio::ip::tcp::socket socket_; // while connecting
     boost::asio::steady_timer timer_;
     boost::asio::steady_timer again_timer_;
--- a/src/adapters/peer/peer_link.hpp
+++ b/src/adapters/peer/peer_link.hpp
@@ -20,6 +20,8 @@
     std::size_t max_message = 16 * 1024 * 1024; // bytes
     std::uint32_t max_streams = 10'000;         // concurrent, per connection
     std::uint32_t window = 4 * 1024 * 1024;     // flow control, bytes
+    // Of all incomplete messages that are being received.
+    std::size_t max_received = 32 * 1024 * 1024; // bytes
     bool reuse_port = false; // several lanes listen on one port
     // A served connection that carries one of these paths counts as control
     // traffic as a whole.
--- a/src/adapters/platform/platform_calls.cpp
+++ b/src/adapters/platform/platform_calls.cpp
@@ -17,20 +17,19 @@
 // Watches at one time, each with a connection of its own.
 constexpr std::size_t max_watches = 8;
 
-// Answers hold values of up to 1 MB each; a listing holds several.
-constexpr std::size_t max_answer = 64 * 1024 * 1024;
-
 http_client_options client_options(platform_client_options const& options,
                                    std::size_t connections,
-                                   std::shared_ptr<byte_count> bytes)
+                                   std::shared_ptr<byte_count> bytes,
+                                   std::shared_ptr<receive_budget> memory)
 {
     return {.ip = options.ip,
             .port = options.port,
             .max_connections = connections,
             .connect_timeout = options.call_timeout,
-            .max_body = max_answer,
+            .max_body = options.max_answer,
             .silence_limit = options.silence_limit,
-            .bytes = std::move(bytes)};
+            .bytes = std::move(bytes),
+            .memory = std::move(memory)};
 }
 
 bool had_no_effect(unsigned status)
@@ -57,10 +56,12 @@
       breaker_(options.breaker_failures, options.breaker_open,
                options.breaker_max, std::random_device()()),
       trial_timer_(io),
+      memory_(std::make_shared<receive_budget>(options.max_answer)),
       client_(std::make_unique<http_client>(
-          io, client_options(options, options.max_connections, bytes))),
+          io,
+          client_options(options, options.max_connections, bytes, memory_))),
       watch_client_(std::make_unique<http_client>(
-          io, client_options(options, max_watches, bytes)))
+          io, client_options(options, max_watches, bytes, memory_)))
 {}
 
 bool platform_calls::allowed(std::string_view key, callback const& f)
--- a/src/adapters/platform/platform_calls.hpp
+++ b/src/adapters/platform/platform_calls.hpp
@@ -59,6 +59,7 @@
     call_bucket claim_budget_;
     circuit_breaker breaker_;
     boost::asio::steady_timer trial_timer_;
+    std::shared_ptr<receive_budget> memory_; // for answers
     std::unique_ptr<http_client> client_;
     std::unique_ptr<http_client> watch_client_;
     bool stopped_ = false;
--- a/src/adapters/platform/platform_client.hpp
+++ b/src/adapters/platform/platform_client.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/asio/io_context.hpp>
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -30,6 +31,9 @@
     // Peers that do not acknowledge for this long count as lost; 0: the
     // system's default.
     duration silence_limit{};
+    // Of one answer, and of all that are being received. Answers hold values of
+    // up to 1 MB each; a listing holds several.
+    std::size_t max_answer = 64 * 1024 * 1024; // bytes
 };
 
 struct platform_counters
--- a/src/adapters/upstream/upstream_control.cpp
+++ b/src/adapters/upstream/upstream_control.cpp
@@ -79,6 +79,7 @@
     ++counters_->connects;
     connecting_ = true;
     connection_ = std::make_shared<client_connection>(io_, options_.max_answer);
+    connection_->limit_memory(options_.memory);
     connection_->connect(
         *endpoint_, options_.connect_timeout,
         [self = shared_from_this(), it = connection_](bool ok) {
--- a/src/adapters/upstream/upstream_entry.cpp
+++ b/src/adapters/upstream/upstream_entry.cpp
@@ -143,6 +143,7 @@
 {
     auto const it =
         std::make_shared<client_connection>(io_, options_.max_answer);
+    it->limit_memory(options_.memory);
     all_.insert(it);
     ++connecting_;
     ++counters_->connects;
--- a/src/adapters/upstream/upstream_pool.cpp
+++ b/src/adapters/upstream/upstream_pool.cpp
@@ -67,7 +67,10 @@
     impl(boost::asio::io_context& io, upstream_pool_options const& options)
         : io_(io), options_(options),
           counters_(std::make_shared<upstream_counters>())
-    {}
+    {
+        options_.memory =
+            std::make_shared<receive_budget>(options.max_total_answer);
+    }
 
     void configure(set_connections const& request)
     {
--- a/src/adapters/upstream/upstream_pool.hpp
+++ b/src/adapters/upstream/upstream_pool.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/net/receive_budget.hpp"
 #include "ports/upstream_port.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -13,6 +14,10 @@
 struct upstream_pool_options
 {
     std::size_t max_answer = 4 * 1024 * 1024; // bytes
+    // Of all answers that are being received.
+    std::size_t max_total_answer = 64 * 1024 * 1024; // bytes
+    // Set by the pool, for its connections.
+    std::shared_ptr<receive_budget> memory;
     duration connect_timeout = from_ms(1000);
     duration status_timeout = from_ms(1000);
     duration cancel_grace = from_ms(1000); // then the connection is closed
--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -482,6 +482,8 @@
     metrics_.set_counter("upstream_exchanges_lost", links.lost);
     metrics_.set_counter("upstream_late_answers", links.late_answers);
     metrics_.set_counter("upstream_retry_connects", links.retry_connects);
+    metrics_.set_counter("upstream_answers_over_memory",
+                         links_.answers_over_memory());
     metrics_.set_counter("hedges", shared_.hedges);
     metrics_.set_counter("retries", shared_.retries);
     metrics_.set_counter("repeats_over_budget", shared_.budget_refusals);
--- a/src/cli/forward.cpp
+++ b/src/cli/forward.cpp
@@ -9,6 +9,7 @@
 
 #include <unistd.h>
 
+#include <cstddef>
 #include <cstdlib>
 #include <iostream>
 #include <string>
@@ -28,6 +29,10 @@
     return std::move(std::get<forward_settings>(settings));
 }
 
+// A page of a listing holds about 1 MB and one object of at most 1 MB; a watch
+// that was delayed may return several versions of a large manifest.
+constexpr std::size_t max_store_answer = 16 * 1024 * 1024; // bytes
+
 // Calls to the store: a starting host makes three, a change of the store one
 // for each kind.
 platform_client_options const store_options{.call_timeout = from_ms(1000),
@@ -36,7 +41,8 @@
                                             .breaker_failures = 4,
                                             .breaker_open = from_ms(300),
                                             .breaker_max = from_ms(1000),
-                                            .silence_limit = from_ms(2000)};
+                                            .silence_limit = from_ms(2000),
+                                            .max_answer = max_store_answer};
 
 std::unique_ptr<store_port> make_store(boost::asio::io_context& io,
                                        listen_address const& address,
--- a/tests/adapters/forward/upstream_links_test.cpp
+++ b/tests/adapters/forward/upstream_links_test.cpp
@@ -389,6 +389,23 @@
     }
 }
 
+// Guards against many bodies that are small enough each, and together use up
+// the memory of the host.
+TEST(upstream_links, bounds_the_memory_of_many_small_bodies)
+{
+    start();
+    constexpr std::size_t count = 40;
+    std::string const body(900 * 1024, 'a');
+    for (std::size_t i = 0; i < count; ++i) {
+        send(std::to_string(i));
+        CHECK(wait_request(std::to_string(i), i));
+        server.peers[i]->send("HTTP/1.1 200 OK\r\nx-proof: p\r\n\r\n" + body);
+    }
+    CHECK(run_until(io, [&] { return !outcomes.empty(); }));
+    CHECK(std::holds_alternative<exchange_lost>(outcomes[0]));
+    CHECK_COMPARE(links->answer_bytes(), <=, 32U * 1024 * 1024);
+}
+
 // Guards against several bodies without end that together use up the memory of
 // the host.
 TEST(upstream_links, bounds_the_memory_of_all_bodies_together)
--- a/tests/adapters/http/http_client_test.cpp
+++ b/tests/adapters/http/http_client_test.cpp
@@ -260,3 +260,27 @@
         CHECK(std::holds_alternative<http_failed>(results[n - 1]));
     }
 }
+
+// Guards against a server that sends bodies without end on several connections:
+// each is small enough, together they use up the memory.
+TEST(http_client, bounds_the_memory_of_all_answers_together)
+{
+    auto const memory = std::make_shared<receive_budget>(100'000);
+    client.emplace(io, http_client_options{.ip = "127.0.0.1",
+                                           .port = server.port(),
+                                           .max_connections = 5,
+                                           .max_body = 80'000,
+                                           .memory = memory});
+    for (std::size_t i = 0; i < 5; ++i) {
+        send("/a");
+        CHECK(wait_requests(i, 1));
+        server.peers[i]->send("HTTP/1.1 200 OK\r\n\r\n" +
+                              std::string(40'000, 'x'));
+        CHECK(memory->used() <= 100'000);
+    }
+    CHECK(wait_results(3));
+    CHECK(memory->used() <= 100'000);
+    for (std::size_t i = 0; i < 3; ++i) {
+        CHECK(failed(i).sent);
+    }
+}
--- a/tests/adapters/http/http_server_test.cpp
+++ b/tests/adapters/http/http_server_test.cpp
@@ -3,6 +3,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <optional>
 
 using namespace snipemill;
@@ -146,6 +147,60 @@
     CHECK(peer->has("HTTP/1.1 413"));
 }
 
+// Guards against memory that grows for as long as a caller sends: in the size
+// line of a chunk or in the trailer, which no limit of a header or body covers.
+TEST(http_server, refuses_a_chunk_line_without_end)
+{
+    std::string const head =
+        "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (auto const& [first, more] :
+         std::vector<std::pair<std::string, std::string>>{
+             {"5;a=", std::string(1000, 'a')},
+             {"0\r\n", "x-filler: " + std::string(1000, 'a') + "\r\n"}}) {
+        start({.max_header = 4000});
+        auto const peer = connect();
+        peer->send(head + first);
+        for (int i = 0; i < 20 && peer->in.empty(); ++i) {
+            peer->send(more);
+            run_until(
+                io, [&] { return !peer->in.empty(); }, std::chrono::seconds(0));
+        }
+        CHECK(run_until(io, [&] { return peer->has("\r\n\r\n"); }));
+        CHECK(peer->has("HTTP/1.1 431"));
+        CHECK(peer->has(R"("run":"not_run")"));
+        LONGS_EQUAL(0, requests.size());
+    }
+}
+
+// Guards against callers that together use up the memory of the host although
+// each request is small enough, and against small requests that pay for it.
+TEST(http_server, bounds_the_memory_of_all_requests_together)
+{
+    start({.max_body = 100'000, .max_received = 200'000});
+    std::string const head = "POST / HTTP/1.1\r\nContent-Length: ";
+    auto const small = connect();
+    small->send(head + "1000\r\n\r\n" + std::string(500, 's'));
+    std::vector<std::shared_ptr<raw_peer>> peers;
+    for (int i = 0; i < 10; ++i) {
+        peers.push_back(connect());
+        peers.back()->send(head + "90000\r\n\r\n" + std::string(80'000, 'x'));
+    }
+    auto const refused = [&] {
+        return std::count_if(peers.begin(), peers.end(), [](auto const& it) {
+            return it->has("HTTP/1.1 503");
+        });
+    };
+    CHECK(run_until(io, [&] { return refused() >= 8; }));
+    LONGS_EQUAL(8, refused());
+    for (auto const& it : peers) {
+        CHECK(it->in.empty() ||
+              (it->has(R"("run":"not_run")") && it->has("Retry-After: 1\r\n")));
+    }
+    small->send(std::string(500, 's'));
+    CHECK(run_until(io, [&] { return requests.size() == 1; }));
+    UNSIGNED_LONGS_EQUAL(1000, requests[0].body.size());
+}
+
 // Guards against connections held by callers that never finish a request.
 TEST(http_server, refuses_slow_request)
 {
--- a/tests/adapters/peer/peer_bad_input_test.cpp
+++ b/tests/adapters/peer/peer_bad_input_test.cpp
@@ -1,6 +1,8 @@
 #include "adapters/peer/h2_session.hpp"
 #include "peer_link_fixture.hpp"
 
+#include <algorithm>
+
 using namespace snipemill;
 using namespace snipemill::test;
 using namespace std::string_literals;
@@ -74,7 +76,8 @@
     socket.connect({boost::asio::ip::address_v4::loopback(), port});
     auto const session = std::make_shared<h2_session>(
         std::move(socket), h2_role::client, peer_link_options{},
-        std::make_shared<peer_counters>(), h2_hooks{});
+        std::make_shared<peer_counters>(),
+        std::make_shared<receive_budget>(1000), h2_hooks{});
     session->start();
     auto const stream = std::make_shared<broken_request>();
     CHECK(session->request(stream, "/peer/query", "a"));
@@ -97,3 +100,43 @@
     CHECK(wait_done(request));
     CHECK(request->failed->reason == errc::peer_protocol);
 }
+
+// A message of which only a part is sent.
+class unfinished_request : public broken_request
+{
+public:
+    explicit unfinished_request(std::size_t n)
+    {
+        out = "\0\x0f\0\0"s + std::string(n, 'x');
+        out_end = false;
+    }
+};
+
+// Guards against a host that opens many streams and sends a part of a message
+// on each: each is small enough, together they use up the memory.
+TEST(peer_bad_input, bounds_the_memory_of_all_incomplete_messages)
+{
+    start({.max_message = 1'000'000, .max_received = 100'000});
+    raw_peer::socket_type socket(io);
+    socket.connect({boost::asio::ip::address_v4::loopback(), port});
+    auto const session = std::make_shared<h2_session>(
+        std::move(socket), h2_role::client, peer_link_options{},
+        std::make_shared<peer_counters>(),
+        std::make_shared<receive_budget>(1000), h2_hooks{});
+    session->start();
+    std::vector<std::shared_ptr<unfinished_request>> streams;
+    for (int i = 0; i < 10; ++i) {
+        streams.push_back(std::make_shared<unfinished_request>(30'000));
+        CHECK(session->request(streams.back(), "/peer/query", "a"));
+    }
+    auto const reset = [&] {
+        return std::count_if(
+            streams.begin(), streams.end(),
+            [](auto const& it) { return it->error.has_value(); });
+    };
+    CHECK(run_until(io, [&] { return reset() >= 7; }));
+    // Other hosts are served meanwhile.
+    open("a");
+    CHECK(wait_served(1));
+    session->discard();
+}
--- a/tests/adapters/platform/platform_client_test.cpp
+++ b/tests/adapters/platform/platform_client_test.cpp
@@ -3,6 +3,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <algorithm>
 #include <optional>
 
 using namespace snipemill;
@@ -310,3 +311,26 @@
     client.reset();
     LONGS_EQUAL(1, held.use_count());
 }
+
+// Guards against a store that sends bytes without end, on calls and on watches:
+// together they use up the memory of the host.
+TEST(platform_client, bounds_the_memory_of_all_answers_together)
+{
+    start({.max_answer = 100'000});
+    for (std::size_t i = 0; i < 2; ++i) {
+        client->list("config/", keep_listing());
+        client->watch("config/", 3, from_ms(20'000), keep_listing());
+    }
+    CHECK(run_until(io, [&] {
+        return server.peers.size() == 4 &&
+               std::all_of(server.peers.begin(), server.peers.end(),
+                           [](auto const& it) { return it->has("GET /"); });
+    }));
+    for (auto const& it : server.peers) {
+        it->send("HTTP/1.1 200 OK\r\n\r\n" + std::string(60'000, ' '));
+    }
+    CHECK(run_until(io, [&] { return listings.size() == 3; }));
+    for (auto const& it : listings) {
+        CHECK(std::holds_alternative<platform_error>(it));
+    }
+}
--- a/tests/adapters/upstream/upstream_pool_test.cpp
+++ b/tests/adapters/upstream/upstream_pool_test.cpp
@@ -1,5 +1,6 @@
 #include "adapters/upstream/upstream_pool_fixture.hpp"
 
+#include <algorithm>
 #include <map>
 
 using namespace snipemill;
@@ -253,3 +254,25 @@
     CHECK(wait_outcomes(1));
     CHECK(std::holds_alternative<submit_unknown>(outcomes[0]));
 }
+
+// Guards against an upstream that sends bytes without end on all its
+// connections: each answer is small enough, together they use up the memory.
+TEST(upstream_pool, bounds_the_memory_of_all_answers_together)
+{
+    start(5, 6, {.max_answer = 80'000, .max_total_answer = 100'000});
+    CHECK(wait_peers(5));
+    for (int i = 0; i < 5; ++i) {
+        query();
+    }
+    CHECK(run_until(io, [&] {
+        return std::all_of(server.peers.begin(), server.peers.end(),
+                           [](auto const& it) { return it->has("POST"); });
+    }));
+    for (auto const& it : server.peers) {
+        it->send("HTTP/1.1 200 OK\r\n" + last_id(*it) + "\r\n" +
+                 std::string(40'000, ' '));
+    }
+    CHECK(wait_results(3));
+    settle();
+    LONGS_EQUAL(3, results.size());
+}
