--- a/src/adapters/peer/h2_session.cpp
+++ b/src/adapters/peer/h2_session.cpp
@@ -203,15 +203,14 @@
 {
     stream->id = id;
     // Posted, because another session ends the stream inside its own input.
-    stream->received.emplace(budget_, [executor = timer_.get_executor(),
-                                       weak = weak_from_this(), id] {
-        asio::post(executor, [weak, id] {
-            auto const self = weak.lock();
-            auto* const it = self ? self->find(id) : nullptr;
-            if (it) {
-                self->end_too_large(*it);
-            }
-        });
+    stream->received.emplace(budget_, [weak = weak_from_this(), id] {
+        if (auto const session = weak.lock()) {
+            asio::post(session->socket_.get_executor(), [session, id] {
+                if (auto* const it = session->find(id)) {
+                    session->end_too_large(*it);
+                }
+            });
+        }
     });
     streams_[id] = std::move(stream);
     watch();
--- a/tests/process/forward_fixture.hpp
+++ b/tests/process/forward_fixture.hpp
@@ -4,9 +4,9 @@
 #include "platform/names.hpp"
 #include "support/raw_peer.hpp"
 
-#include <CppUTest/TestHarness.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <filesystem>
 #include <optional>
@@ -33,8 +33,8 @@
     forward_fixture(forward_fixture const&) = delete;
     forward_fixture& operator=(forward_fixture const&) = delete;
 
-    // Starts the hosts and waits until they are ready.
-    void start(std::size_t hosts, unsigned route_timeout_ms)
+    // Starts the hosts. Returns whether all of them have become ready.
+    bool start(std::size_t hosts, unsigned route_timeout_ms)
     {
         fleet.emplace(io, soak::fleet_options{.program = SNIPEMILL_PROGRAM,
                                               .folder = folder_,
@@ -44,9 +44,10 @@
         state.version += 1;
         state.timeout_ms = route_timeout_ms;
         fleet->publish(state);
-        for (auto const& it : fleet->hosts()) {
-            CHECK(run_until(io, [&] { return is_ready(*it); }));
-        }
+        return std::all_of(
+            fleet->hosts().begin(), fleet->hosts().end(), [&](auto const& it) {
+                return run_until(io, [&] { return is_ready(*it); });
+            });
     }
     bool is_ready(soak::host const& it)
     {
--- a/tests/process/outdated_store_test.cpp
+++ b/tests/process/outdated_store_test.cpp
@@ -1,5 +1,7 @@
 #include "forward_fixture.hpp"
 
+#include <CppUTest/TestHarness.h>
+
 #include <algorithm>
 #include <vector>
 
@@ -25,7 +27,7 @@
 
     void start(std::size_t hosts)
     {
-        f.start(hosts, time_left_ms);
+        CHECK(f.start(hosts, time_left_ms));
         f.run_for(seconds(1));
         f.fleet->store().set_outdated_by(outdated_by);
         f.run_for(outdated_by);
@@ -44,10 +46,9 @@
                 return it->has("\r\n\r\n");
             });
         }));
-        std::vector<std::string> out;
-        for (auto const& it : peers) {
-            out.push_back(it->in);
-        }
+        std::vector<std::string> out(peers.size());
+        std::transform(peers.begin(), peers.end(), out.begin(),
+                       [](auto const& it) { return it->in; });
         return out;
     }
     void set_extra_route(bool exists)
@@ -98,7 +99,7 @@
 // read the store at an interval.
 TEST(outdated_store, hosts_share_the_reads_of_the_store)
 {
-    f.start(5, time_left_ms);
+    CHECK(f.start(5, time_left_ms));
     f.run_for(seconds(3));
     auto const before = f.fleet->store().current_reads();
     f.run_for(seconds(6));
--- a/tests/process/planned_stop_test.cpp
+++ b/tests/process/planned_stop_test.cpp
@@ -2,6 +2,8 @@
 #include "testbed/fleet.hpp"
 #include "testbed/submit_load.hpp"
 
+#include <CppUTest/TestHarness.h>
+
 #include <csignal>
 
 using namespace snipemill::test;
@@ -44,7 +46,7 @@
 
     void start(std::size_t hosts)
     {
-        f.start(hosts, route_timeout_ms);
+        CHECK(f.start(hosts, route_timeout_ms));
     }
     void run_for(milliseconds time)
     {
