Read the store only when every kind is listed

A read of the store did not cover a kind whose first listing came later; that listing may be outdated, and the next reads, of an unchanged store, would not have shown it. Found by reading the diff; the new test of forward_control_floors fails without the check.

--- a/src/app/forward/floor_keeper.cpp
+++ b/src/app/forward/floor_keeper.cpp
@@ -4,7 +4,6 @@
 #include "app/core_time.hpp"
 
 #include <algorithm>
-#include <iterator>
 #include <string>
 #include <utility>
 
@@ -131,11 +130,16 @@
         });
 }
 
+// A kind that has not been listed cannot be read from a revision, and the read
+// would not hold for it.
 void floor_keeper::read_store()
 {
     auto const now = core_now();
     freshness_.read_started(now);
-    if (!options_.mirror(first_kind).listed()) {
+    bool const listed = std::all_of(
+        bounded_kinds.begin(), bounded_kinds.end(),
+        [this](store_kind it) { return options_.mirror(it).listed(); });
+    if (!listed) {
         return;
     }
     ++store_reads_;
@@ -158,20 +162,13 @@
     finish_read();
 }
 
-// A kind that is being listed is read by that listing, which is current.
 void floor_keeper::read_other_kinds()
 {
-    std::vector<store_kind> kinds;
-    std::copy_if(bounded_kinds.begin() + 1, bounded_kinds.end(),
-                 std::back_inserter(kinds), [this](store_kind it) {
-                     return options_.mirror(it).listed();
-                 });
-    read_->open = kinds.size();
-    if (kinds.empty()) {
-        finish_read();
-        return;
-    }
-    for (auto const kind : kinds) {
+    read_->open = bounded_kinds.size() - 1;
+    for (auto const kind : bounded_kinds) {
+        if (kind == first_kind) {
+            continue;
+        }
         call(kind, read_age::current,
              [this, began = read_->began](auto revision) {
                  if (!read_ || read_->began != began) {
--- a/tests/app/forward/forward_control_floors_test.cpp
+++ b/tests/app/forward/forward_control_floors_test.cpp
@@ -3,14 +3,27 @@
 using namespace snipemill;
 using namespace snipemill::test;
 
-TEST_GROUP_BASE(forward_control_floors, forward_control_fixture){};
+namespace {
+
+struct floors_fixture : forward_control_fixture
+{
+    void start_all()
+    {
+        start();
+        store.complete_list(store_kind::crashes, store_page{.revision = 10});
+    }
+};
+
+} // namespace
+
+TEST_GROUP_BASE(forward_control_floors, floors_fixture){};
 
 // Watches of an idle store are open, and the store answers them with outdated
 // data. Guards against a manifest, an evacuation or a leaving upstream that a
 // host learns of later than the limit.
 TEST(forward_control_floors, a_change_that_watches_do_not_show_is_read)
 {
-    start();
+    start_all();
     CHECK(wait_read());
     CHECK(store.reads[0].kind == store_kind::manifests);
     CHECK(store.reads[0].age == read_age::current);
@@ -39,11 +52,24 @@
     CHECK(last_snapshot->evacuated.contains("dc"));
 }
 
+// Guards against a read that is taken to hold for a kind whose first listing,
+// which may be outdated, comes later.
+TEST(forward_control_floors, reads_begin_when_every_kind_is_listed)
+{
+    start();
+    auto const end =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(2500);
+    run_until(io, [&] { return std::chrono::steady_clock::now() > end; });
+    CHECK(store.reads.empty());
+    store.complete_list(store_kind::crashes, store_page{.revision = 10});
+    CHECK(wait_read());
+}
+
 // Guards against hosts that each read every kind at an interval although the
 // store has not changed.
 TEST(forward_control_floors, an_unchanged_store_costs_one_read)
 {
-    start();
+    start_all();
     CHECK(wait_read());
     store.complete_read(store_events{.revision = 10});
     CHECK(store.reads.empty());
@@ -54,7 +80,7 @@
 // store although another one does.
 TEST(forward_control_floors, a_kind_below_the_floor_of_another_host_is_read)
 {
-    start();
+    start_all();
     floor_message message{.floor = {.revision = 15}};
     message.floor.floors.fill(10);
     message.floor.floors[0] = 15; // the manifests
@@ -75,7 +101,7 @@
 // same.
 TEST(forward_control_floors, a_kind_that_reaches_the_floor_is_not_read)
 {
-    start();
+    start_all();
     floor_message message{.floor = {.revision = 15}};
     message.floor.floors[0] = 15;
     control.on_floor(message);
