Identify callers by the keys of client accounts

Cause: a deployment with client accounts got its callers' keys passed on to upstreams and no account named; requests with unknown keys ran. Change: the manifest's accounts are decoded and indexed by key; a request without the key of an account gets 401 unless its route is public; the host names the account to upstreams and leaves out the key, also from the fingerprint that other hosts see. Without accounts in the manifest nothing changes.

--- a/src/adapters/codec/caller_json.cpp
+++ b/src/adapters/codec/caller_json.cpp
@@ -306,6 +306,8 @@
     case errc::invalid_ticket:
     case errc::invalid_settings:
         return 400;
+    case errc::unauthorised:
+        return 401;
     case errc::unknown_route:
     case errc::unknown_group:
     case errc::not_found:
@@ -322,6 +324,8 @@
         return 422;
     case errc::header_too_large:
         return 431;
+    case errc::over_usage_cap:
+        return 429;
     case errc::cancelled:
         return 499;
     case errc::peer_unreachable:
--- a/src/adapters/forward/forward_headers.hpp
+++ b/src/adapters/forward/forward_headers.hpp
@@ -15,6 +15,7 @@
     std::string rate_limit; // requests/s that the upstream takes from all hosts
     std::string leaving;    // "1" while the upstream is shutting down
     std::string not_run;    // present when the request was not run
+    std::string account;    // name of the caller's account, for upstreams
     std::string shard_stamps;   // stamps of the merged shard answers
     std::string missing_shards; // number of shards without an answer
 };
--- a/src/adapters/forward/forward_text.cpp
+++ b/src/adapters/forward/forward_text.cpp
@@ -29,8 +29,11 @@
     "upgrade",
     "content-length"};
 
+constexpr unsigned unauthorised = 401;
 constexpr unsigned service_unavailable = 503;
 
+constexpr char const* authorization = "authorization";
+
 // Longer times do not fit into a duration.
 constexpr double max_retry_after_s = 86'400;
 
@@ -103,10 +106,25 @@
     return {buf.data(), static_cast<std::size_t>(n)};
 }
 
+// What tells callers apart in a fingerprint, which leaves the host: never a
+// key of an account.
+std::string_view caller_text(http_request const& from,
+                             caller_identity const& caller)
+{
+    if (!caller.accounts_in_force) {
+        return from.header(authorization);
+    }
+    return caller.account ? std::string_view(caller.account->name)
+                          : std::string_view();
+}
+
 http_response write_error_answer(error_answer const& from)
 {
     http_response out{.status = from.status,
                       .body = write_error_body(from.reason)};
+    if (from.status == unauthorised) {
+        out.headers.emplace_back("WWW-Authenticate", "Bearer");
+    }
     if (from.retry_after > duration::zero()) {
         out.headers.emplace_back("Retry-After", seconds_text(from.retry_after));
     }
@@ -131,14 +149,15 @@
 } // namespace
 
 forward_request make_forward_request(http_request&& from,
-                                     forward_headers const& names)
+                                     forward_headers const& names,
+                                     caller_identity const& caller)
 {
     auto const connection = std::string(from.header("connection"));
     auto& headers = from.headers;
     auto const print = fingerprint_of({.method = from.method,
                                        .host = from.header("host"),
                                        .target = from.target,
-                                       .caller = from.header("authorization"),
+                                       .caller = caller_text(from, caller),
                                        .body = from.body});
     forward_request out{.id = from.header(names.request_id),
                         .method = from.method,
@@ -153,8 +172,18 @@
             name == "expect" || is_hop_by_hop(name, connection)) {
             continue;
         }
+        // With accounts this host alone names the account, and the key stays
+        // here.
+        if (caller.accounts_in_force &&
+            (name == names.account || name == authorization)) {
+            continue;
+        }
         out.text.append(name).append(": ").append(value).append("\r\n");
     }
+    if (caller.account) {
+        out.text.append(names.account).append(": ");
+        out.text.append(caller.account->name).append("\r\n");
+    }
     bool const bodyless = out.method == "GET" || out.method == "HEAD";
     if (!out.body.empty() || !bodyless) {
         out.text += "content-length: " + std::to_string(out.body.size());
--- a/src/adapters/forward/forward_text.hpp
+++ b/src/adapters/forward/forward_text.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/forward/forward_headers.hpp"
 #include "adapters/http/http_server.hpp"
+#include "core/accounts/caller_identity.hpp"
 #include "core/forward/caller_answer.hpp"
 #include "core/forward/exchange.hpp"
 
@@ -13,9 +14,11 @@
 
 // Converts a caller's request to the form that is the same for every upstream:
 // request line, end-to-end headers and body. Leaves out the headers that
-// write_upstream_request() sets for each attempt.
+// write_upstream_request() sets for each attempt. Where accounts are in force,
+// the name of the caller's account takes the place of its key.
 forward_request make_forward_request(http_request&& from,
-                                     forward_headers const& names);
+                                     forward_headers const& names,
+                                     caller_identity const& caller = {});
 
 // Returns the request as it is sent to one upstream instance.
 std::string write_upstream_request(forward_request const& request,
--- a/src/adapters/http/http_server.cpp
+++ b/src/adapters/http/http_server.cpp
@@ -17,6 +17,17 @@
     return empty;
 }
 
+std::vector<std::string_view> http_request::values(std::string_view name) const
+{
+    std::vector<std::string_view> out;
+    for (auto const& [key, value] : headers) {
+        if (key == name) {
+            out.emplace_back(value);
+        }
+    }
+    return out;
+}
+
 class http_server::impl : public server_core
 {
 public:
--- a/src/adapters/http/http_server.hpp
+++ b/src/adapters/http/http_server.hpp
@@ -10,6 +10,8 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace snipemill {
@@ -42,6 +44,8 @@
 
     // Value of a header, empty when it is absent. name is in lower case.
     std::string const& header(std::string const& name) const;
+    // Values of all headers of this name.
+    std::vector<std::string_view> values(std::string_view name) const;
 };
 
 struct http_response
--- a/src/adapters/settings/forward_settings.cpp
+++ b/src/adapters/settings/forward_settings.cpp
@@ -11,6 +11,9 @@
 
 constexpr value_range<std::int64_t> host_range{1, 100'000};
 constexpr value_range<double> cores_range{0.01, 1024};
+constexpr value_range<std::int64_t> memory_range{32, 1 << 24}; // MB
+constexpr value_range<double> ratio_range{0, 1};
+constexpr value_range<double> count_range{0, 1e6};
 constexpr value_range<std::int64_t> seconds_range{1, 3600};
 constexpr value_range<std::int64_t> ms_range{1, 3'600'000};
 
@@ -50,6 +53,28 @@
     out.retry_budget.floor = retry_floor(out.retry_slack, out.hosts);
 }
 
+void read_memory(yaml_reader& in, forward_settings& out)
+{
+    constexpr std::uint64_t mb = 1024 * 1024;
+    std::uint64_t n = 0;
+    in.read("memory_mb", n, memory_range);
+    out.memory = n * mb;
+}
+
+void read_usage_caps(yaml_reader& in, usage_tolerance& out)
+{
+    read_seconds(in, "window_s", out.window);
+    in.read("overage", out.overage, ratio_range);
+    in.read("slack", out.slack, count_range);
+}
+
+void read_rollouts(yaml_reader& in, rollout_bounds& out)
+{
+    in.read("canary_share", out.canary_share, ratio_range);
+    in.read("canary_slack", out.canary_slack, count_range);
+    in.read_ms("roll_back_within_ms", out.roll_back_within, ms_range);
+}
+
 void read_all(yaml_reader& in, forward_settings& out)
 {
     in.require("host");
@@ -59,6 +84,7 @@
         host.read("name", out.name);
         host.read("data_centre", out.data_centre);
         host.read("cores", out.cores, cores_range);
+        read_memory(host, out);
         host.finish();
     });
     in.require("listen");
@@ -85,6 +111,18 @@
         read_repeats(retry_budget, out);
         retry_budget.finish();
     });
+    if (in.has("usage_caps")) {
+        in.map("usage_caps", [&](yaml_reader& caps) {
+            read_usage_caps(caps, out.usage_caps.emplace());
+            caps.finish();
+        });
+    }
+    if (in.has("rollouts")) {
+        in.map("rollouts", [&](yaml_reader& rollouts) {
+            read_rollouts(rollouts, out.rollouts.emplace());
+            rollouts.finish();
+        });
+    }
     in.map("bounds", [&](yaml_reader& bounds) {
         bounds.read_ms("leave_within_ms", out.leave_within, ms_range);
         bounds.read_ms("change_within_ms", out.change_within, ms_range);
--- a/src/adapters/settings/forward_settings.hpp
+++ b/src/adapters/settings/forward_settings.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
 #include "adapters/settings/host_settings.hpp"
+#include "core/accounts/usage_tolerance.hpp"
 #include "core/forward/retry_budget.hpp"
+#include "core/rollouts/rollout_bounds.hpp"
 
 #include <cstdint>
 #include <optional>
@@ -32,6 +34,8 @@
     // Where queries of other hosts arrive; without it this host runs none.
     std::optional<listen_address> relay;
     double cores = 1; // processor share of this host
+    // Memory in bytes above which this host is killed; 0: not known.
+    std::uint64_t memory = 0;
     listen_address store;
     // Time for which the store keeps the history of changes.
     duration store_history = from_ms(20'000);
@@ -41,6 +45,10 @@
     double retry_slack = 48;
     // Hosts that are assumed to share the connections of an upstream.
     std::uint32_t hosts = 8;
+    // Without a value the usage caps of accounts are not enforced.
+    std::optional<usage_tolerance> usage_caps;
+    // Without a value rollouts are not carried out.
+    std::optional<rollout_bounds> rollouts;
     duration leave_within = from_ms(3000);  // upstreams that leave get no work
     duration change_within = from_ms(3000); // manifests are in force
     duration evacuate_within = from_ms(5000);
--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -100,10 +100,10 @@
                                  forward_settings const& settings,
                                  store_port& store, publish_callback publish)
     : store_(store), publish_(std::move(publish)),
-      random_(std::random_device()()), host_(own_host(settings)),
-      expiry_timer_(io), renewal_timer_(io), crash_timer_(io),
-      max_batch_delay_(std::chrono::duration_cast<duration>(
-          settings.leave_within * max_batch_delay_ratio)),
+      random_(std::random_device()()), key_seed_(std::random_device()()),
+      host_(own_host(settings)), expiry_timer_(io), renewal_timer_(io),
+      crash_timer_(io), max_batch_delay_(std::chrono::duration_cast<duration>(
+                            settings.leave_within * max_batch_delay_ratio)),
       floors_(io, floor_options(settings))
 {
     auto const mirror = mirror_settings(settings);
@@ -392,11 +392,14 @@
         return;
     }
     auto const before = manifest_ ? manifest_->state->version : 0;
-    manifest_ = std::make_shared<indexed_manifest const>(*next);
+    manifest_ = std::make_shared<indexed_manifest const>(*next, key_seed_);
     log_info("manifest_adopted",
              {{"version", std::to_string((*next)->version)},
               {"previous", std::to_string(before)},
               {"routes", std::to_string((*next)->routes.size())},
+              {"accounts", manifest_->accounts
+                               ? std::to_string(manifest_->accounts->size())
+                               : "none"},
               {"revision", std::to_string(watchers_[0]->mirror.revision())}});
 }
 
--- a/src/app/forward/forward_control.hpp
+++ b/src/app/forward/forward_control.hpp
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <array>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -109,6 +110,7 @@
     store_port& store_;
     publish_callback publish_;
     rng random_;
+    std::uint64_t key_seed_; // of the index of account keys
     // One for each kind, in the order of store_kind_names.
     std::array<std::unique_ptr<watcher>, store_kind_names.size()> watchers_;
     fleet_host host_;
--- a/src/app/forward/forward_snapshot.hpp
+++ b/src/app/forward/forward_snapshot.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/accounts/account_index.hpp"
 #include "core/forward/crash_guard.hpp"
 #include "core/forward/gather_index.hpp"
 #include "core/forward/manifest.hpp"
@@ -9,6 +10,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,13 +20,20 @@
 // A manifest with the indexes of its routes.
 struct indexed_manifest
 {
-    explicit indexed_manifest(std::shared_ptr<manifest const> from)
+    // hash_seed: of the account index.
+    explicit indexed_manifest(std::shared_ptr<manifest const> from,
+                              std::uint64_t hash_seed = 0)
         : state(std::move(from)), routes(*state), gathers(*state)
-    {}
+    {
+        if (state->accounts) {
+            accounts.emplace(*state->accounts, hash_seed);
+        }
+    }
 
     std::shared_ptr<manifest const> state;
     route_index routes;
     gather_index gathers;
+    std::optional<account_index> accounts; // if the manifest has any
 };
 
 // State that the control thread publishes to the traffic thread.
--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -310,6 +310,13 @@
         refuse(request, respond, 404, errc::unknown_route, {});
         return nullptr;
     }
+    auto const caller = identify(
+        snapshot_->current->accounts ? &*snapshot_->current->accounts : nullptr,
+        request.values("authorization"));
+    if (!is_authorised(caller, route->is_public)) {
+        refuse(request, respond, 401, errc::unauthorised, {});
+        return nullptr;
+    }
     auto const caller_time_left =
         parse_milliseconds(request.header(names_.time_left));
     auto time_limit =
@@ -323,8 +330,8 @@
                draining_retry_after);
         return nullptr;
     }
-    return start_run(std::move(request), std::move(respond), *route, arrival,
-                     end);
+    return start_run(std::move(request), std::move(respond), *route, caller,
+                     arrival, end);
 }
 
 std::vector<std::string const*>
@@ -371,11 +378,13 @@
 std::function<void()> forward_traffic::start_run(http_request&& request,
                                                  http_responder&& respond,
                                                  forward_route const& route,
+                                                 caller_identity const& caller,
                                                  time_point arrival,
                                                  time_point end)
 {
     auto forwarded = std::make_shared<forward_request const>(
-        make_forward_request(std::move(request), names_));
+        make_forward_request(std::move(request), names_, caller));
+    auto const account = caller.account ? caller.account->name : std::string();
     auto const id = forwarded->id;
     request_run::options o{.state = snapshot_->current->state,
                            .route = &route,
@@ -394,7 +403,7 @@
             .direct = with_context(std::move(o))});
     };
     auto const number = runs_.start(
-        make, [this, id, arrival, respond = std::move(respond)](
+        make, [this, id, account, arrival, respond = std::move(respond)](
                   caller_answer answer, run_summary const& summary) {
             std::string reason;
             if (auto const* const it = std::get_if<error_answer>(&answer)) {
@@ -406,14 +415,16 @@
             record_request(id, summary,
                            {.status = status,
                             .latency = core_now() - arrival,
-                            .reason = reason});
+                            .reason = reason,
+                            .account = account});
         });
-    return [this, number, id, arrival] {
+    return [this, number, id, account, arrival] {
         if (auto const summary = runs_.cancel(number)) {
             record_request(id, *summary,
                            {.status = 499,
                             .latency = core_now() - arrival,
-                            .reason = "the caller disconnected"});
+                            .reason = "the caller disconnected",
+                            .account = account});
         }
     };
 }
--- a/src/app/forward/forward_traffic.hpp
+++ b/src/app/forward/forward_traffic.hpp
@@ -11,6 +11,7 @@
 #include "app/forward/request_log.hpp"
 #include "app/forward/run_table.hpp"
 #include "app/planned_stop.hpp"
+#include "core/accounts/caller_identity.hpp"
 #include "core/forward/relay_pool.hpp"
 #include "core/forward/request_run.hpp"
 #include "core/forward/weighted_rotation.hpp"
@@ -68,6 +69,7 @@
     std::function<void()> start_run(http_request&& request,
                                     http_responder&& respond,
                                     forward_route const& route,
+                                    caller_identity const& caller,
                                     time_point arrival, time_point end);
     // Makes a run without a relay.
     run_ptr make_direct_run(request_run::options o);
--- a/src/app/forward/request_log.hpp
+++ b/src/app/forward/request_log.hpp
@@ -14,6 +14,7 @@
     unsigned status = 0;
     duration latency{};
     std::string_view reason;
+    std::string_view account; // empty when the caller has none
 };
 
 // Logs one line about a request with the causes of its outcome.
--- a/src/core/base/error.hpp
+++ b/src/core/base/error.hpp
@@ -43,9 +43,11 @@
     invalid_ticket,
     invalid_settings,
     internal,
+    unauthorised,
+    over_usage_cap,
 };
 
-inline constexpr name_table<errc, 32> errc_names{{
+inline constexpr name_table<errc, 34> errc_names{{
     {errc::ok, "ok"},
     {errc::malformed_request, "malformed_request"},
     {errc::unknown_route, "unknown_route"},
@@ -78,6 +80,8 @@
     {errc::invalid_ticket, "invalid_ticket"},
     {errc::invalid_settings, "invalid_settings"},
     {errc::internal, "internal"},
+    {errc::unauthorised, "unauthorised"},
+    {errc::over_usage_cap, "over_usage_cap"},
 }};
 
 constexpr std::string_view to_string(errc ec)
--- a/src/core/forward/manifest.hpp
+++ b/src/core/forward/manifest.hpp
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "core/accounts/client_account.hpp"
 #include "core/base/idempotency.hpp"
 #include "core/base/time.hpp"
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -50,6 +52,8 @@
     duration objective{};       // target latency; later answers are worth less
     std::uint32_t priority = 0; // 0 is the highest priority
     std::uint32_t attempts = 1; // limit of upstreams that may run one request
+    // Requests need no key although the manifest has client accounts.
+    bool is_public = false;
     route_target target;
 };
 
@@ -83,6 +87,8 @@
     std::vector<forward_route> routes;
     std::vector<upstream_service> services;
     caller_limits limits;
+    // Without a value callers need no keys.
+    std::optional<std::vector<client_account>> accounts;
 };
 
 } // namespace snipemill
--- a/tests/adapters/forward/forward_text_test.cpp
+++ b/tests/adapters/forward/forward_text_test.cpp
@@ -14,13 +14,14 @@
                           .rate_limit = "x-limit",
                           .leaving = "x-leaving",
                           .not_run = "x-not-run",
+                          .account = "x-account",
                           .shard_stamps = "x-proofs",
                           .missing_shards = "x-missing"};
 
-    std::string write(http_request request)
+    std::string write(http_request request, caller_identity const& caller = {})
     {
         return write_upstream_request(
-            make_forward_request(std::move(request), names), names,
+            make_forward_request(std::move(request), names, caller), names,
             from_ms(250), "i-1");
     }
     static bool has(std::string const& text, std::string const& part)
@@ -45,6 +46,54 @@
     CHECK(text.ends_with("\r\n\r\nbody"));
 }
 
+// Guards against a key that reaches an upstream, and against a caller that
+// chooses its account itself.
+TEST(forward_text, the_name_of_the_account_takes_the_place_of_the_key)
+{
+    http_request const request{.method = "GET",
+                               .target = "/a",
+                               .headers = {{"host", "h"},
+                                           {"authorization", "Bearer secret"},
+                                           {"x-account", "other"},
+                                           {"x-account", "third"}}};
+    client_account const account{.name = "a1"};
+    auto const text =
+        write(request, {.accounts_in_force = true, .account = &account});
+    CHECK(has(text, "x-account: a1\r\n"));
+    CHECK_FALSE(has(text, "other"));
+    CHECK_FALSE(has(text, "third"));
+    CHECK_FALSE(has(text, "secret"));
+    CHECK_FALSE(has(text, "authorization"));
+    auto const anonymous = write(request, {.accounts_in_force = true});
+    CHECK_FALSE(has(anonymous, "x-account"));
+    CHECK_FALSE(has(anonymous, "secret"));
+    // Without accounts nothing is taken out.
+    CHECK(has(write(request), "authorization: Bearer secret\r\n"));
+}
+
+// Guards against a fingerprint, which other hosts see, that is made from a key,
+// and against one that two accounts share.
+TEST(forward_text, the_fingerprint_holds_the_account_and_not_the_key)
+{
+    http_request request{
+        .method = "GET",
+        .target = "/a",
+        .headers = {{"host", "h"}, {"authorization", "Bearer one"}}};
+    client_account const a{.name = "a"};
+    client_account const b{.name = "b"};
+    auto const print = [&](client_account const& account) {
+        auto it = request;
+        return make_forward_request(
+                   std::move(it), names,
+                   {.accounts_in_force = true, .account = &account})
+            .print;
+    };
+    auto const first = print(a);
+    CHECK(first != print(b));
+    request.headers[1].second = "Bearer two";
+    CHECK(first == print(a));
+}
+
 // Guards against taking a repeated request for another one because its id and
 // deadline differ, and two requests for the same one.
 TEST(forward_text, a_repeated_request_has_the_same_fingerprint)
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -78,6 +78,65 @@
     CHECK(it.limits.idle_timeout == from_ms(400));
 }
 
+// Guards against accounts whose limits are read into the wrong member, and
+// against routes that are public by default.
+TEST(documents, reads_the_accounts_of_a_manifest)
+{
+    auto const text =
+        replaced(manifest_text, R"("limits":)",
+                 R"("tenants": [{"name": "t1", "api_keys": ["k1", "k2"],
+                     "priority": 0, "rate_per_s": 11.5, "burst": 4},
+                    {"name": "t2", "api_keys": []}], "limits":)");
+    auto const value = decode(store_kind::manifests, "main",
+                              replaced(text, R"("priority": 2,)",
+                                       R"("priority": 2, "public": true,)"));
+    auto const& it = *std::get<std::shared_ptr<manifest const>>(value);
+    CHECK(it.routes[0].is_public);
+    CHECK_FALSE(it.routes[1].is_public);
+    CHECK(it.accounts.has_value());
+    UNSIGNED_LONGS_EQUAL(2, it.accounts->size());
+    auto const& first = it.accounts->front();
+    STRCMP_EQUAL("t1", first.name.c_str());
+    UNSIGNED_LONGS_EQUAL(2, first.keys.size());
+    STRCMP_EQUAL("k2", first.keys[1].c_str());
+    UNSIGNED_LONGS_EQUAL(0, *first.priority);
+    DOUBLES_EQUAL(11.5, first.cap.rate, 1e-9);
+    DOUBLES_EQUAL(4, first.cap.burst, 1e-9);
+    auto const& second = it.accounts->back();
+    CHECK_FALSE(second.priority.has_value());
+    CHECK_FALSE(second.cap.limited());
+}
+
+// Guards against requiring keys where the manifest has no accounts, and against
+// serving everybody when the last account is removed.
+TEST(documents, an_empty_list_of_accounts_is_not_the_same_as_none)
+{
+    auto const without = decode(store_kind::manifests, "main", manifest_text);
+    CHECK_FALSE(std::get<std::shared_ptr<manifest const>>(without)
+                    ->accounts.has_value());
+    auto const empty = decode(
+        store_kind::manifests, "main",
+        replaced(manifest_text, R"("limits":)", R"("tenants": [], "limits":)"));
+    CHECK(
+        std::get<std::shared_ptr<manifest const>>(empty)->accounts.has_value());
+}
+
+// Guards against a name that would add headers to requests, and against a
+// manifest that comes into force without one of its accounts.
+TEST(documents, a_manifest_with_a_spoilt_account_is_unreadable)
+{
+    for (auto const* const account :
+         {R"({"name": "t\r\nx: y", "api_keys": []})", R"({"name": "t"})",
+          R"({"name": "", "api_keys": []})",
+          R"({"name": "t", "api_keys": [1]})", "7"}) {
+        auto const text = replaced(manifest_text, R"("limits":)",
+                                   R"("tenants": [)" + std::string(account) +
+                                       R"(], "limits":)");
+        auto const value = decode(store_kind::manifests, "main", text);
+        CHECK(std::holds_alternative<unreadable_entry>(value));
+    }
+}
+
 // Guards against using another object of the same kind as the manifest.
 TEST(documents, reads_only_the_newest_manifest)
 {
