Choose relays in the data centres that hold shards

Cause: a host of a data centre without replicas of shards used relays of its own data centre, which sent a request for each shard to other data centres and got as many answers; bytes between data centres are the largest price of such deployments. Change: relays are chosen only in data centres that hold shards; hosts elsewhere use relays there, so that one query and its merged answer pass. Such a host is cut off when none of its relays answers. Evidence: tests relay_plan and relay_pool; the new tests do not compile before.

--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -213,25 +213,34 @@
     if (hosts.empty()) {
         return;
     }
-    auto const plan = plan_relays(hosts, settings_.name, settings_.data_centre);
+    // Data centres are left out only when all upstreams are known.
+    std::set<std::string> with_shards;
+    if (snapshot_->complete) {
+        with_shards =
+            shard_data_centres(snapshot_->upstreams,
+                               snapshot_->current->gathers.single_services());
+    }
+    auto plan =
+        plan_relays(hosts, settings_.name, settings_.data_centre, with_shards);
     fleet_sharing next{.hosts = static_cast<double>(hosts.size()),
                        .relays = static_cast<double>(plan.relays),
                        .relay = plan.is_relay};
     if (snapshot_->current) {
         next.single_services = snapshot_->current->gathers.single_services();
     }
-    if (next == fleet_.sharing()) {
+    if (next == fleet_.sharing() && plan == relay_plan_) {
         return;
     }
+    relay_plan_ = std::move(plan);
     log_info("fleet_shared",
              {{"hosts", std::to_string(hosts.size())},
-              {"relays", std::to_string(plan.relays)},
-              {"relay", plan.is_relay ? "self" : "others"},
-              {"known", std::to_string(plan.candidates.size())}});
+              {"relays", std::to_string(relay_plan_.relays)},
+              {"relay", relay_plan_.is_relay ? "self" : "others"},
+              {"known", std::to_string(relay_plan_.candidates.size())}});
     fleet_.set_sharing(std::move(next));
     shared_.update_budgets();
-    relays_.set_relays(plan.is_relay ? std::vector<fleet_host>()
-                                     : plan.candidates,
+    relays_.set_relays(relay_plan_.is_relay ? std::vector<fleet_host>()
+                                            : relay_plan_.candidates,
                        core_now());
     probe_relays();
     preconnect_timer_.expires_after(settle_time);
--- a/src/app/forward/forward_traffic.hpp
+++ b/src/app/forward/forward_traffic.hpp
@@ -100,6 +100,7 @@
     weighted_rotation rotation_;
     relay_link relay_link_;
     relay_pool relays_;
+    relay_plan relay_plan_;
     run_table runs_;
     std::optional<relay_service> relay_service_;
     boost::asio::steady_timer probe_timer_;
--- a/src/core/forward/relay_plan.cpp
+++ b/src/core/forward/relay_plan.cpp
@@ -13,6 +13,9 @@
 // Tolerance for rounding errors in sums of cores.
 constexpr double rounding = 1e-6;
 
+// See shard_data_centres().
+constexpr std::size_t min_shard_divisor = 4;
+
 using host_group = std::vector<fleet_host const*>;
 
 // Most CPU cores first; ties are broken by a hash of the name, so that a host
@@ -53,9 +56,30 @@
 
 } // namespace
 
+std::set<std::string>
+shard_data_centres(std::vector<upstream_record> const& upstreams,
+                   std::set<std::string> const& single_services)
+{
+    std::map<std::string, std::size_t> counts;
+    std::size_t most = 0;
+    for (auto const& it : upstreams) {
+        if (!single_services.contains(it.service)) {
+            most = std::max(most, ++counts[it.data_centre]);
+        }
+    }
+    std::set<std::string> out;
+    for (auto const& [name, n] : counts) {
+        if (n * min_shard_divisor >= most) {
+            out.insert(name);
+        }
+    }
+    return out;
+}
+
 relay_plan plan_relays(std::vector<fleet_host> const& hosts,
                        std::string const& own,
                        std::string const& own_data_centre,
+                       std::set<std::string> const& with_shards,
                        relay_plan_settings const& settings)
 {
     relay_plan out;
@@ -70,6 +94,9 @@
     }
     host_group remote;
     for (auto const& [name, group] : data_centres) {
+        if (!with_shards.empty() && !with_shards.contains(name)) {
+            continue;
+        }
         for (auto const* const it : select_relays(
                  group, most_cores * settings.min_cores_ratio, settings)) {
             ++out.relays;
--- a/src/core/forward/relay_plan.hpp
+++ b/src/core/forward/relay_plan.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "core/forward/upstream_record.hpp"
+
 #include <cstddef>
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -39,12 +42,21 @@
     std::size_t max_remote_relays = 3;
 };
 
+// The data centres that hold shards: those that have at least a quarter as many
+// upstreams of shards as the one with the most, so that a data centre that has
+// lost a part of its upstreams for a while keeps its relays. Services that are
+// not in single_services are shards.
+std::set<std::string>
+shard_data_centres(std::vector<upstream_record> const& upstreams,
+                   std::set<std::string> const& single_services);
+
 // Which hosts run fan-out queries.
 struct relay_plan
 {
     std::size_t relays = 0; // in the fleet; 0: all hosts use direct runs
     bool is_relay = false;  // this host is a relay
-    // Relays that this host may use, those of its data centre first.
+    // Relays that this host may use, those of its data centre first. A host of
+    // a data centre without shards has only relays of other data centres.
     std::vector<fleet_host> candidates;
 
     friend bool operator==(relay_plan const&, relay_plan const&) = default;
@@ -58,10 +70,14 @@
 // keep their connections busy and detect slow replicas early. Every host
 // computes the same relays from the same entries. A host without an entry,
 // because it is draining or has just started, uses the relays of its data
-// centre and is not a relay itself.
+// centre and is not a relay itself. Only data centres of with_shards have
+// relays, so that one query and its merged answer pass between data centres
+// instead of a request and an answer for each shard; an empty set stands for
+// all data centres.
 relay_plan plan_relays(std::vector<fleet_host> const& hosts,
                        std::string const& own,
                        std::string const& own_data_centre,
+                       std::set<std::string> const& with_shards = {},
                        relay_plan_settings const& settings = {});
 
 } // namespace snipemill
--- a/src/core/forward/relay_pool.cpp
+++ b/src/core/forward/relay_pool.cpp
@@ -98,6 +98,7 @@
 {
     auto const* const refused = std::get_if<relay_refused>(&event);
     it.cut_off = refused && refused->reason == relay_refusal::cut_off;
+    it.probe_failed = std::holds_alternative<relay_lost>(event);
     set_usable(it, std::holds_alternative<relay_accepted>(event));
 }
 
@@ -106,7 +107,15 @@
     auto const none_usable =
         std::none_of(relays_.begin(), relays_.end(),
                      [](auto const& it) { return it->usable; });
-    return none_usable &&
+    if (!none_usable || relays_.empty()) {
+        return false;
+    }
+    bool const none_answers =
+        std::all_of(relays_.begin(), relays_.end(), [this](auto const& it) {
+            return it->probe_failed &&
+                   it->host.data_centre != settings_.data_centre;
+        });
+    return none_answers ||
            std::any_of(relays_.begin(), relays_.end(),
                        [](auto const& it) { return it->cut_off; });
 }
@@ -120,6 +129,7 @@
     }
     std::exchange(it.probe, nullptr)->cancel();
     it.cut_off = false;
+    it.probe_failed = true;
     mark_failed(it, now);
 }
 
--- a/src/core/forward/relay_pool.hpp
+++ b/src/core/forward/relay_pool.hpp
@@ -47,9 +47,10 @@
 struct relay_state
 {
     fleet_host host;
-    bool usable = false;    // has answered a probe since its last failure
-    bool cut_off = false;   // reported by its last answer to a probe
-    std::uint32_t open = 0; // open queries of this host
+    bool usable = false;       // has answered a probe since its last failure
+    bool cut_off = false;      // reported by its last answer to a probe
+    bool probe_failed = false; // its last probe got no answer
+    std::uint32_t open = 0;    // open queries of this host
     time_point next_probe_at{};
     time_point probe_deadline{}; // of the open probe
     // The time-out of the open probe was postponed.
@@ -81,7 +82,8 @@
     relay_ptr choose(std::vector<relay_ptr> const& exclude);
     void mark_failed(relay_state& it, time_point now);
     // Whether no relay is usable and one reports that its data centre is cut
-    // off. This host reaches that relay, so it is cut off as well.
+    // off: this host reaches that relay, so it is cut off as well. A host whose
+    // relays are all in other data centres is cut off when none answers.
     bool cut_off() const;
     // Whether a timer that was due at `due` fires so late that this host itself
     // was delayed.
--- a/tests/core/forward/relay_plan_test.cpp
+++ b/tests/core/forward/relay_plan_test.cpp
@@ -123,3 +123,43 @@
     CHECK(names(plan).contains("a0") && names(plan).contains("a1"));
     STRCMP_EQUAL("a", plan.candidates[0].data_centre.c_str());
 }
+
+// A data centre holds no shards. Guards against relays there, which would send
+// a request for each shard to other data centres, and against its hosts being
+// left without a relay.
+TEST(relay_plan, data_centres_without_shards_use_relays_near_the_shards)
+{
+    auto const hosts = fleet(4, 20);
+    std::set<std::string> const with_shards{"a", "b", "c"};
+    auto const plan = plan_relays(hosts, "d7", "d", with_shards);
+    UNSIGNED_LONGS_EQUAL(6, plan.relays);
+    UNSIGNED_LONGS_EQUAL(3, plan.candidates.size());
+    for (auto const& it : plan.candidates) {
+        CHECK(it.data_centre != "d");
+    }
+    CHECK_FALSE(plan_relays(hosts, "d0", "d", with_shards).is_relay);
+    // The others use the relays of their own data centre first, as before.
+    auto const near = plan_relays(hosts, "a7", "a", with_shards);
+    STRCMP_EQUAL("a", near.candidates[0].data_centre.c_str());
+    STRCMP_EQUAL("a", near.candidates[1].data_centre.c_str());
+}
+
+// Guards against relays that move whenever some upstreams restart, and against
+// counting the upstreams of services that every host uses.
+TEST(relay_plan, a_data_centre_that_lost_half_of_its_upstreams_holds_shards)
+{
+    std::vector<upstream_record> upstreams;
+    auto const add = [&](std::string const& service, std::string const& dc,
+                         int n) {
+        for (int i = 0; i < n; ++i) {
+            upstreams.push_back({.service = service, .data_centre = dc});
+        }
+    };
+    add("s1", "a", 40);
+    add("s2", "b", 20);
+    add("s3", "c", 2);
+    add("single", "d", 90);
+    CHECK((shard_data_centres(upstreams, {"single"}) ==
+           std::set<std::string>{"a", "b"}));
+    CHECK(shard_data_centres({}, {"single"}).empty());
+}
--- a/tests/core/forward/relay_pool_test.cpp
+++ b/tests/core/forward/relay_pool_test.cpp
@@ -128,3 +128,41 @@
     f.port.answer_probes();
     CHECK(f.choose() != "none");
 }
+
+// A data centre without shards is cut off: its hosts use relays of other data
+// centres only. Guards against hosts that stay in rotation there, and against a
+// host that counts as cut off before its relays have been probed.
+TEST(relay_pool, a_host_without_near_relays_is_cut_off_when_none_answers)
+{
+    relay_pool_fixture far;
+    auto hosts = three_relays();
+    for (auto& it : hosts) {
+        it.data_centre = "b";
+    }
+    far.pool.set_relays(hosts, far.now);
+    CHECK_FALSE(far.pool.cut_off());
+    far.probe();
+    CHECK_FALSE(far.pool.cut_off());
+    far.now += far.pool.settings().probe_interval;
+    far.pool.probe(far.now);
+    far.port.answer_probes(relay_lost{});
+    CHECK(far.pool.cut_off());
+    far.now += far.pool.settings().probe_interval;
+    far.probe();
+    CHECK_FALSE(far.pool.cut_off());
+}
+
+// Guards against a host that counts as cut off while its relays restart one
+// after the other: a relay that is leaving has answered.
+TEST(relay_pool, leaving_relays_of_other_data_centres_do_not_mean_a_cut)
+{
+    relay_pool_fixture far;
+    auto hosts = three_relays();
+    for (auto& it : hosts) {
+        it.data_centre = "b";
+    }
+    far.pool.set_relays(hosts, far.now);
+    far.pool.probe(far.now);
+    far.port.answer_probes(relay_refused{relay_refusal::leaving});
+    CHECK_FALSE(far.pool.cut_off());
+}
