Prefer near upstreams as far as the objective leaves room

Change: the preference for the own data centre follows the objective and the usual latency of the route.

--- a/src/core/forward/service_fetch.cpp
+++ b/src/core/forward/service_fetch.cpp
@@ -130,11 +130,15 @@
 
 upstream_ptr service_fetch::choose(time_point now, choice_failure& why)
 {
-    return options_.shared->fleet.choose({.service = options_.service,
-                                          .exclude = &excluded_,
-                                          .suspect = options_.suspect,
-                                          .now = now},
-                                         why);
+    auto const usual = options_.shared->latencies[options_.route->name].mean();
+    return options_.shared->fleet.choose(
+        {.service = options_.service,
+         .exclude = &excluded_,
+         .suspect = options_.suspect,
+         .objective = options_.route->objective,
+         .usual = usual,
+         .now = now},
+        why);
 }
 
 void service_fetch::start_attempt(upstream_ptr const& upstream, time_point now)
--- a/src/core/forward/upstream_fleet.cpp
+++ b/src/core/forward/upstream_fleet.cpp
@@ -31,6 +31,13 @@
 // differ by less.
 constexpr double score_jitter = 0.1;
 
+// Highest addition to the score of an upstream in another data centre: a near
+// upstream that is slower by this many usual latencies is in trouble.
+constexpr double max_remote_penalty = 3;
+
+// Usual latencies below this are those of the host itself.
+constexpr double min_usual_ms = 1;
+
 // Whether two records describe the same start of the same upstream.
 bool same_lifetime(upstream_record const& a, upstream_record const& b)
 {
@@ -188,8 +195,21 @@
                       settings_.max_connections);
 }
 
-double upstream_fleet::score(upstream_view const& it, time_point now) const
+double upstream_fleet::remote_penalty(choice_request const& request) const
+{
+    if (request.usual <= duration::zero()) {
+        return settings_.remote_penalty;
+    }
+    auto const room = settings_.local_share * to_ms(request.objective) /
+                          std::max(min_usual_ms, to_ms(request.usual)) -
+                      1;
+    return std::clamp(room, settings_.remote_penalty, max_remote_penalty);
+}
+
+double upstream_fleet::score(upstream_view const& it,
+                             choice_request const& request) const
 {
+    auto const now = request.now;
     auto const slots = std::max(1U, it.record.slots);
     auto const waiting =
         std::max<double>(it.in_flight(), it.admission.reported_waiting(now));
@@ -198,7 +218,7 @@
         out *= cold_latency_factor;
     }
     if (it.record.data_centre != settings_.data_centre) {
-        out += settings_.remote_penalty;
+        out += remote_penalty(request);
     }
     out += settings_.failure_penalty * it.failure_rate(now);
     if (it.unresponsive_for(now) > settings_.suspect_after ||
@@ -260,7 +280,7 @@
             why = choice_failure::saturated;
             continue;
         }
-        auto value = score(*it, request.now) + score_jitter * random_.unit();
+        auto value = score(*it, request) + score_jitter * random_.unit();
         if (request.suspect && it->open_suspects > 0) {
             value += suspect_penalty;
         }
--- a/src/core/forward/upstream_fleet.hpp
+++ b/src/core/forward/upstream_fleet.hpp
@@ -19,9 +19,13 @@
 {
     std::string host;        // name of this host
     std::string data_centre; // of this host
-    // Added to the score of an upstream in another data centre, because traffic
-    // between data centres is billed and takes longer.
+    // Lowest addition to the score of an upstream in another data centre,
+    // because traffic between data centres is billed and takes longer.
     double remote_penalty = 0.6;
+    // Part of a request's objective that it may spend at a slower upstream of
+    // the own data centre: an answer that arrives within the objective is worth
+    // the same whenever it arrives. The rest is for a hedge and the way back.
+    double local_share = 0.35;
     // Added to the score of a failing upstream, times its failure rate.
     double failure_penalty = 8;
     // Time without a response, with a request open, after which other upstreams
@@ -61,6 +65,10 @@
     std::vector<upstream_ptr> const* exclude = nullptr; // may be null
     // Prefers upstreams that run no other suspect of crash_guard.
     bool suspect = false;
+    // Target latency of the request, and the mean latency of its route at
+    // upstreams; 0: not known.
+    duration objective{};
+    duration usual{};
     time_point now{};
 };
 
@@ -160,7 +168,11 @@
     // Whether this host may send one more request to the upstream.
     bool has_room(service_entry const& entry, upstream_view const& it,
                   time_point now) const;
-    double score(upstream_view const& it, time_point now) const;
+    double score(upstream_view const& it, choice_request const& request) const;
+    // Addition to the score of an upstream in another data centre, in units of
+    // the usual latency. Load pattern: objectives that leave room. A request is
+    // sent elsewhere only when a near upstream would endanger its objective.
+    double remote_penalty(choice_request const& request) const;
     sender_group senders(std::string const& service) const;
     // Earliest time at which this host may send to the upstream.
     time_point next_send(service_entry const& entry, upstream_view const& it,
