Carry all datagrams between hosts on one link

Cause: usage caps and rollouts need short messages between hosts; the link on the relay port knew only floors of the store, and its socket ran on the control thread, which callers must not wait for. Change: an envelope (HostDatagram) with floors, cap requests, cap grants and rollout reports, one codec, and a link whose socket belongs to the traffic thread; floors are posted to the control thread. A receiver can reply to a sender that its list of hosts lacks. Malformed datagrams are counted (malformed_datagrams). floor_link_unavailable is now host_link_unavailable. Measured: nothing.

--- a/src/adapters/codec/floor_codec.hpp
+++ b/src/adapters/codec/host_codec.hpp
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "core/accounts/cap_messages.hpp"
 #include "core/forward/store_freshness.hpp"
+#include "core/rollouts/rollout_report.hpp"
 
 #include <optional>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace snipemill {
 
@@ -15,8 +18,12 @@
     bool pass_on = false; // to the receiver's data centre
 };
 
-std::string encode(floor_message const& message);
+// A datagram between hosts.
+using host_message =
+    std::variant<floor_message, cap_request, cap_grant, rollout_report>;
+
+std::string encode(host_message const& message);
 // No value when the bytes are malformed or a field is out of range.
-std::optional<floor_message> decode_floor(std::string_view bytes);
+std::optional<host_message> decode_host_message(std::string_view bytes);
 
 } // namespace snipemill
--- a/src/adapters/net/datagram_socket.cpp
+++ b/src/adapters/net/datagram_socket.cpp
@@ -48,8 +48,14 @@
         if (ec || closed_) {
             return;
         }
-        bytes_sent +=
-            socket_.send_to(asio::buffer(bytes), {address, port}, 0, ec);
+        send_to({address, port}, bytes);
+    }
+
+    void reply(std::string_view bytes)
+    {
+        if (!closed_) {
+            send_to(from_, bytes);
+        }
     }
 
     void stop()
@@ -63,6 +69,12 @@
     std::uint64_t bytes_received = 0;
 
 private:
+    void send_to(udp::endpoint const& to, std::string_view bytes)
+    {
+        boost::system::error_code ec;
+        bytes_sent += socket_.send_to(asio::buffer(bytes), to, 0, ec);
+    }
+
     void on_read(boost::system::error_code ec, std::size_t n)
     {
         if (closed_ || ec == asio::error::operation_aborted) {
@@ -103,6 +115,11 @@
     impl_->send(ip, port, bytes);
 }
 
+void datagram_socket::reply(std::string_view bytes)
+{
+    impl_->reply(bytes);
+}
+
 std::uint64_t datagram_socket::bytes_sent() const
 {
     return impl_->bytes_sent;
--- a/src/adapters/net/datagram_socket.hpp
+++ b/src/adapters/net/datagram_socket.hpp
@@ -27,6 +27,8 @@
     // the network loses.
     void send(std::string const& ip, std::uint16_t port,
               std::string_view bytes);
+    // Only within the callback: sends to the sender of the received datagram.
+    void reply(std::string_view bytes);
     std::uint64_t bytes_sent() const;
     std::uint64_t bytes_received() const;
 
--- a/src/app/forward/floor_keeper.hpp
+++ b/src/app/forward/floor_keeper.hpp
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "adapters/codec/floor_codec.hpp"
+#include "adapters/codec/host_codec.hpp"
 #include "adapters/settings/forward_settings.hpp"
 #include "app/forward/forward_metrics.hpp"
 #include "core/forward/floor_plan.hpp"
--- a/src/app/forward/forward_host.cpp
+++ b/src/app/forward/forward_host.cpp
@@ -2,6 +2,7 @@
 
 #include "adapters/logging/logger.hpp"
 #include "app/core_time.hpp"
+#include "core/base/overloaded.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -12,6 +13,7 @@
 #include <filesystem>
 #include <thread>
 #include <utility>
+#include <variant>
 
 namespace snipemill {
 
@@ -65,7 +67,7 @@
                 traffic_->apply_snapshot(snapshot);
             });
         });
-    open_floor_link();
+    open_host_link();
     traffic_->on_crash([this](crash_entry const& entry, bool added) {
         asio::post(control_io_, [this, entry, added] {
             added ? control_->save_crash(entry) : control_->clear_crash(entry);
@@ -81,6 +83,10 @@
             asio::post(traffic_io_, [this, f] {
                 traffic_->report();
                 metrics_.set_counter("log_lines_dropped", log_.dropped());
+                if (host_link_) {
+                    metrics_.set_counter("malformed_datagrams",
+                                         host_link_->malformed());
+                }
                 asio::post(control_io_, [this, f] {
                     control_->report(metrics_);
                     f({.content_type = "text/plain; version=0.0.4",
@@ -94,27 +100,41 @@
 
 forward_host::~forward_host() = default;
 
-// A host that cannot use the port reads the store itself.
-void forward_host::open_floor_link()
+// A host that cannot use the port reads the store itself. The socket belongs to
+// the traffic thread, because callers wait for cap requests.
+void forward_host::open_host_link()
 {
     if (!settings_.relay) {
         return;
     }
     try {
-        floor_link_ = std::make_unique<floor_link>(
-            control_io_, settings_.relay->ip, settings_.relay->port,
-            [this](floor_message const& it) { control_->on_floor(it); });
+        host_link_ = std::make_unique<host_link>(
+            traffic_io_, settings_.relay->ip, settings_.relay->port,
+            [this](host_message const& it) { on_host_message(it); });
     }
     catch (boost::system::system_error const& e) {
-        log_error("floor_link_unavailable", {{"reason", e.what()}});
+        log_error("host_link_unavailable", {{"reason", e.what()}});
         return;
     }
     control_->pass_floors_with(
         [this](fleet_host const& to, floor_message const& message) {
-            floor_link_->send(to, message);
+            asio::post(traffic_io_,
+                       [this, to, message] { host_link_->send(to, message); });
         });
 }
 
+void forward_host::on_host_message(host_message const& message)
+{
+    std::visit(overloaded{[this](floor_message const& it) {
+                              asio::post(control_io_, [this, it] {
+                                  control_->on_floor(it);
+                              });
+                          },
+                          [](cap_request const&) {}, [](cap_grant const&) {},
+                          [](rollout_report const&) {}},
+               message);
+}
+
 bool forward_host::run()
 {
     log_info("started", {{"host", settings_.name},
--- a/src/app/forward/forward_host.hpp
+++ b/src/app/forward/forward_host.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "adapters/forward/floor_link.hpp"
 #include "adapters/forward/forward_headers.hpp"
+#include "adapters/forward/host_link.hpp"
 #include "adapters/http/http_server.hpp"
 #include "adapters/logging/line_queue.hpp"
 #include "adapters/settings/forward_settings.hpp"
@@ -51,7 +51,8 @@
     bool run();
 
 private:
-    void open_floor_link();
+    void open_host_link();
+    void on_host_message(host_message const& message);
     void wait_signal();
     void on_signal(int number);
     void reload();
@@ -70,7 +71,8 @@
     std::unique_ptr<forward_traffic> traffic_;
     std::unique_ptr<store_port> store_;
     std::unique_ptr<forward_control> control_;
-    std::unique_ptr<floor_link> floor_link_; // null: floors are not exchanged
+    // Used by the traffic thread only; null: the port cannot be used.
+    std::unique_ptr<host_link> host_link_;
     std::unique_ptr<http_server> metrics_server_;
     boost::asio::signal_set signals_;
     boost::asio::steady_timer settings_timer_;
--- /dev/null
+++ b/tests/adapters/codec/host_codec_test.cpp
@@ -0,0 +1,117 @@
+#include "adapters/codec/host_codec.hpp"
+
+#include <CppUTest/TestHarness.h>
+
+#include <cstddef>
+#include <string>
+
+using namespace snipemill;
+
+namespace {
+
+floor_message const floor_sample{
+    .floor = {.revision = 530, .floors = {1, 2, 530, 4}, .age = from_ms(7)},
+    .pass_on = true};
+cap_request const request_sample{.account = "acme",
+                                 .host = "host-3",
+                                 .number = 1ULL << 40U,
+                                 .wanted = 3,
+                                 .as_deputy = true};
+cap_grant const grant_sample{.account = "acme",
+                             .host = "host-4",
+                             .number = 1ULL << 40U,
+                             .outcome = cap_outcome::over_cap,
+                             .retry_after = from_ms(410),
+                             .interval = from_ms(200)};
+rollout_report const report_sample{
+    .service = "prices",
+    .target_version = "v2",
+    .host = "host-4",
+    .fence = 12,
+    .versions = {
+        {.version = "v2",
+         .requests = 40,
+         .bad = 3,
+         .latencies = {
+             {.route = "r", .responses = 37, .sum = from_ms(90'000'000)}}}}};
+
+} // namespace
+
+TEST_GROUP(host_codec){template <class T> T passed_on(T const& message){
+    auto const out = decode_host_message(encode(message));
+CHECK(out.has_value());
+CHECK(std::holds_alternative<T>(*out));
+return std::get<T>(*out);
+}
+}
+;
+
+TEST(host_codec, keeps_every_field_of_a_floor)
+{
+    auto const out = passed_on(floor_sample);
+    UNSIGNED_LONGS_EQUAL(530, out.floor.revision);
+    CHECK(out.floor.floors == floor_sample.floor.floors);
+    CHECK(out.floor.age == from_ms(7));
+    CHECK(out.pass_on);
+}
+
+// Guards against a grant that is taken for another request, and against a
+// request for more than was wanted.
+TEST(host_codec, keeps_every_field_of_cap_messages)
+{
+    CHECK(passed_on(request_sample) == request_sample);
+    CHECK(passed_on(grant_sample) == grant_sample);
+    cap_grant const granted{
+        .account = "acme", .host = "host-4", .number = 7, .granted = 2};
+    CHECK(passed_on(granted) == granted);
+}
+
+TEST(host_codec, keeps_every_field_of_a_rollout_report)
+{
+    CHECK(passed_on(report_sample) == report_sample);
+}
+
+// Guards against floors taken from a datagram that is cut or none of ours.
+TEST(host_codec, refuses_what_is_no_message)
+{
+    for (host_message const& it :
+         {host_message(floor_sample), host_message(request_sample),
+          host_message(grant_sample), host_message(report_sample)}) {
+        auto const bytes = encode(it);
+        for (std::size_t n = 0; n < bytes.size(); ++n) {
+            CHECK_FALSE(decode_host_message(bytes.substr(0, n)).has_value());
+        }
+    }
+    CHECK_FALSE(decode_host_message("GET / HTTP/1.1").has_value());
+    CHECK_FALSE(decode_host_message(std::string(100, '\0')).has_value());
+}
+
+// Guards against grants and requests whose fields cannot be used.
+TEST(host_codec, refuses_fields_out_of_range)
+{
+    auto const refused = [](auto change) {
+        auto request = request_sample;
+        auto grant = grant_sample;
+        change(request, grant);
+        return !decode_host_message(encode(request)) ||
+               !decode_host_message(encode(grant));
+    };
+    CHECK(refused([](auto& it, auto&) { it.account.clear(); }));
+    CHECK(refused([](auto& it, auto&) { it.account.assign(2000, 'a'); }));
+    CHECK(refused([](auto& it, auto&) { it.host.clear(); }));
+    CHECK(refused([](auto& it, auto&) { it.number = 0; }));
+    CHECK(refused([](auto& it, auto&) { it.wanted = 0; }));
+    CHECK(refused([](auto&, auto& it) { it.number = 0; }));
+    CHECK(refused(
+        [](auto&, auto& it) { it.outcome = static_cast<cap_outcome>(9); }));
+    CHECK(refused([](auto&, auto& it) { it.granted = 1; }));
+    CHECK(refused([](auto&, auto& it) { it.outcome = cap_outcome::granted; }));
+    CHECK(refused(
+        [](auto&, auto& it) { it.retry_after = from_ms(100'000'000); }));
+    auto floor = floor_sample;
+    floor.floor.revision = 0;
+    CHECK_FALSE(decode_host_message(encode(floor)).has_value());
+    auto report = report_sample;
+    report.versions.resize(300);
+    CHECK_FALSE(decode_host_message(encode(report)).has_value());
+}
