--- a/src/core/accounts/cap_owner.cpp
+++ b/src/core/accounts/cap_owner.cpp
@@ -12,6 +12,10 @@
 // when a deputy restarts.
 constexpr double initial_share = 0.25;
 
+// Longest time for which a host refuses an account because other hosts were
+// refused too.
+constexpr duration max_contention = from_ms(200);
+
 constexpr duration eviction_interval = from_ms(10'000);
 
 // Forgetting a response costs at most the tokens that it granted.
@@ -175,7 +179,8 @@
             return out;
         }
     }
-    auto const room = bucket.room_at(now);
+    auto const room =
+        std::max(bucket.room_at(now), now + contention(state, now));
     auto const promised = bucket.promise(request.wanted, now);
     return {.outcome = cap_outcome::over_cap,
             .room_after = room - now,
@@ -183,6 +188,20 @@
             .interval = bucket.interval()};
 }
 
+// The hosts that were refused just now share the next tokens: if each asked
+// again when there is one, the requests of a hot account would grow with hosts
+// times its rate. The bucket must not run over meanwhile.
+duration cap_owner::contention(account_state const& state, time_point now)
+{
+    auto const n = std::count_if(
+        state.responses.begin(), state.responses.end(), [now](auto const& it) {
+            return it.second.grant.outcome == cap_outcome::over_cap &&
+                   now < it.second.at + max_contention;
+        });
+    return std::min({max_contention, state.bucket->interval() * n,
+                     state.bucket->fills_in() / 2});
+}
+
 usage_bucket& cap_owner::share_of(roles const& role, account_state& state,
                                   time_point now)
 {
--- a/src/core/accounts/cap_owner.hpp
+++ b/src/core/accounts/cap_owner.hpp
@@ -77,6 +77,7 @@
                        account_state& state, time_point now);
     cap_grant from_share(cap_request const& request, roles const& role,
                          account_state& state, time_point now);
+    static duration contention(account_state const& state, time_point now);
     usage_bucket& share_of(roles const& role, account_state& state,
                            time_point now);
     bucket_shape share_shape(usage_cap const& cap) const;
--- a/src/core/accounts/usage_bucket.cpp
+++ b/src/core/accounts/usage_bucket.cpp
@@ -91,6 +91,13 @@
     return first;
 }
 
+duration usage_bucket::fills_in() const
+{
+    return shape_.rate > 0 && shape_.capacity > 1
+               ? from_seconds((shape_.capacity - 1) / shape_.rate)
+               : duration::zero();
+}
+
 bool usage_bucket::full(time_point now) const
 {
     return tokens_at(now) + rounding >= shape_.capacity;
--- a/src/core/accounts/usage_bucket.hpp
+++ b/src/core/accounts/usage_bucket.hpp
@@ -35,6 +35,8 @@
     // Time between two promised times.
     duration interval() const;
     bool full(time_point now) const;
+    // Time from one token to the capacity.
+    duration fills_in() const;
 
 private:
     void refill(time_point now);
