Test usage caps whose burst is large beside the tolerance

Cause: a bucket that is full again after a restart passed the property tests, because the slack covered it. Measured: on the virtual clock only.

--- a/tests/core/accounts/cap_faults_test.cpp
+++ b/tests/core/accounts/cap_faults_test.cpp
@@ -9,8 +9,9 @@
 
 constexpr std::uint32_t host_count = 16;
 
-// A few faults within 12 s. Hosts join and leave while none is frozen: what a
-// frozen owner grants after its account has moved is stated, not prevented.
+// A few faults within 12 s. Freezes last up to 0.75 s: with the lag of the list
+// an owner learns of its successor up to 0.45 s after the hold, which the
+// tolerance covers.
 void inject(cap_fleet& fleet, std::uint64_t seed, int faults)
 {
     rng random(seed);
@@ -56,6 +57,7 @@
     CHECK(rc::check([] {
         auto const seed = *rc::gen::arbitrary<std::uint64_t>();
         cap_fleet fleet({.seed = seed,
+                         .account = "account" + std::to_string(seed % 50),
                          .loss = 0.02,
                          .repeated = 0.05,
                          .longest_delay = from_ms(60)});
@@ -72,6 +74,7 @@
     CHECK(rc::check([] {
         auto const seed = *rc::gen::arbitrary<std::uint64_t>();
         cap_fleet fleet({.seed = seed,
+                         .account = "account" + std::to_string(seed % 50),
                          .cap = {.rate = 0.5, .burst = 2},
                          .demand = 30,
                          .loss = 0.02,
@@ -83,6 +86,28 @@
     }));
 }
 
+// Load: a burst that is large beside the tolerance. Guards against a bucket
+// that is full again after a restart or a change of owner.
+TEST(cap_faults, the_sum_stays_within_the_limit_of_a_large_burst)
+{
+    CHECK(rc::check([] {
+        auto const seed = *rc::gen::arbitrary<std::uint64_t>();
+        cap_fleet fleet({.seed = seed,
+                         .account = "account" + std::to_string(seed % 50),
+                         .cap = {.rate = 2, .burst = 60},
+                         .tolerance = {.slack = 0},
+                         .loss = 0.02,
+                         .repeated = 0.05,
+                         .longest_delay = from_ms(60)});
+        fleet.set_demand(1); // until the bucket is full
+        fleet.run_for(from_ms(35'000));
+        fleet.set_demand(120);
+        inject(fleet, seed, *rc::gen::inRange(0, 8));
+        fleet.run_for(from_ms(16'000));
+        RC_ASSERT(fleet.most_in_window() <= fleet.limit());
+    }));
+}
+
 // Load: twelve hosts restart at once. Guards against each process granting a
 // whole bucket anew.
 TEST(cap_faults, a_restart_storm_stays_within_the_limit)
