Let the owner of an account use a part of the tolerance

Change: the bucket holds the burst and 0.4 of the tolerance, the deputies together another 0.4; the rest is for tokens that are spent late.

--- a/src/core/accounts/cap_owner.cpp
+++ b/src/core/accounts/cap_owner.cpp
@@ -21,10 +21,10 @@
 // Forgetting a response costs at most the tokens that it granted.
 constexpr std::size_t max_responses = 1024;
 
-bucket_shape owner_shape(usage_cap const& cap)
-{
-    return {.rate = cap.rate, .capacity = std::max(1.0, cap.burst)};
-}
+// Parts of the tolerance that the owner and all deputies together may use. The
+// rest is for tokens that are spent a lifetime after they were granted.
+constexpr double owner_part = 0.4;
+constexpr double deputy_part = 0.4;
 
 double seconds(duration d)
 {
@@ -83,13 +83,28 @@
     });
 }
 
+// Requests of an account in a window beyond its cap.
+double cap_owner::tolerance_of(usage_cap const& cap) const
+{
+    auto const& t = settings_.tolerance;
+    return t.overage * (cap.rate * seconds(t.window) + cap.burst) + t.slack;
+}
+
+// Load pattern: requests of an account that is inside its cap over a window,
+// but not evenly spread. The tolerance takes up their bursts.
+bucket_shape cap_owner::owner_shape(usage_cap const& cap) const
+{
+    return {.rate = cap.rate,
+            .capacity =
+                std::max(1.0, cap.burst + owner_part * tolerance_of(cap))};
+}
+
 // Each deputy's bucket grants at most its share in a window.
 bucket_shape cap_owner::share_shape(usage_cap const& cap) const
 {
-    auto const& t = settings_.tolerance;
-    auto const window = seconds(t.window);
-    auto const all = t.overage * (cap.rate * window + cap.burst) + t.slack;
-    auto const share = all / 2 / static_cast<double>(data_centres_);
+    auto const window = seconds(settings_.tolerance.window);
+    auto const share =
+        deputy_part * tolerance_of(cap) / static_cast<double>(data_centres_);
     auto const capacity = std::min(share, std::max(1.0, share / 2));
     return {.rate = (share - capacity) / window, .capacity = capacity};
 }
