--- a/soak/fleet/test_fleet.cpp
+++ b/soak/fleet/test_fleet.cpp
@@ -104,7 +104,8 @@
         << address(it.caller_port) << "\"\n  readiness: \""
         << address(it.readiness_port) << "\"\n  metrics: \"" << address(metrics)
         << "\"\n  relay: \"" << address(relay) << "\"\nstore: {address: \""
-        << address(it.store_proxy->port()) << "\"}\n";
+        << address(it.store_proxy->port()) << "\"}\n"
+        << options_.extra_settings;
 }
 
 void test_fleet::start_host(host& it)
--- a/soak/fleet/test_fleet.hpp
+++ b/soak/fleet/test_fleet.hpp
@@ -34,6 +34,7 @@
     std::size_t hosts = 14; // above 12, hosts use relays for fan-out queries
     std::size_t shards = 6;
     std::size_t replicas = 2;
+    std::string extra_settings; // lines of the settings file of each host
 };
 
 // One host: a process of the program under test.
--- a/standins/fleet/documents.cpp
+++ b/standins/fleet/documents.cpp
@@ -53,9 +53,21 @@
         extra["backend"] = single_service;
         routes.emplace_back(std::move(extra));
     }
-    return {{"version", from.version},
-            {"routes", std::move(routes)},
-            {"services", std::move(services)}};
+    json::object out{{"version", from.version},
+                     {"routes", std::move(routes)},
+                     {"services", std::move(services)}};
+    if (!from.accounts.empty()) {
+        json::array accounts;
+        for (auto const& it : from.accounts) {
+            accounts.emplace_back(
+                json::object{{"name", it.name},
+                             {"api_keys", json::array{json::string(it.key)}},
+                             {"rate_per_s", it.rate},
+                             {"burst", it.burst}});
+        }
+        out["tenants"] = std::move(accounts);
+    }
+    return out;
 }
 
 json::object upstream_document(upstream_options const& from,
--- a/tests/process/forward_fixture.hpp
+++ b/tests/process/forward_fixture.hpp
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace snipemill::test {
 
@@ -34,15 +35,20 @@
     forward_fixture& operator=(forward_fixture const&) = delete;
 
     // Starts the hosts. Returns whether all of them have become ready.
-    bool start(std::size_t hosts, unsigned route_timeout_ms)
+    bool start(std::size_t hosts, unsigned route_timeout_ms,
+               std::string const& extra_settings = "",
+               std::vector<standin::account_state> const& accounts = {})
     {
-        fleet.emplace(io, soak::fleet_options{.program = SNIPEMILL_PROGRAM,
-                                              .folder = folder_,
-                                              .hosts = hosts,
-                                              .replicas = 5});
+        fleet.emplace(io,
+                      soak::fleet_options{.program = SNIPEMILL_PROGRAM,
+                                          .folder = folder_,
+                                          .hosts = hosts,
+                                          .replicas = 5,
+                                          .extra_settings = extra_settings});
         auto state = fleet->manifest();
         state.version += 1;
         state.timeout_ms = route_timeout_ms;
+        state.accounts = accounts;
         fleet->publish(state);
         return std::all_of(
             fleet->hosts().begin(), fleet->hosts().end(), [&](auto const& it) {
