Bind copies, floors and own entries to the store's era

Cause: after a restore from an older copy the store issues revisions again. A host whose revision the store has passed again gets no 410, keeps what was lost and never learns of what was written instead; floors and the host's own entries are affected in the same way. Change: platform/ reads the header Store-Era and passes it on with pages and events. forward_control follows it: a newer era lists every kind again, current; older answers are dropped; floors carry the era; the host's own entry, crash entries and removals of these are written again if the new listing lacks them. A store without the header is in era 0, as before.

--- a/src/adapters/codec/host_codec.cpp
+++ b/src/adapters/codec/host_codec.cpp
@@ -22,6 +22,7 @@
     }
     out.set_age_us(to_us(from.floor.age));
     out.set_pass_on(from.pass_on);
+    out.set_era(from.floor.era);
 }
 
 void write(wire::CapRequest& out, cap_request const& from)
@@ -72,6 +73,7 @@
         !read_duration(in.age_us(), out.floor.age)) {
         return false;
     }
+    out.floor.era = in.era();
     out.floor.revision = in.revision();
     std::copy(in.floors().begin(), in.floors().end(), out.floor.floors.begin());
     out.pass_on = in.pass_on();
--- a/src/app/forward/floor_keeper.cpp
+++ b/src/app/forward/floor_keeper.cpp
@@ -43,6 +43,14 @@
     timer_.cancel();
 }
 
+// A read that is under way ends without a result, because the listing has a new
+// number.
+void floor_keeper::enter_era(std::uint64_t era)
+{
+    freshness_.enter_era(era);
+    arm();
+}
+
 void floor_keeper::set_plan(floor_plan plan)
 {
     if (plan == plan_) {
@@ -102,8 +110,9 @@
                 return;
             }
             auto* const events = std::get_if<store_events>(&result);
+            bool const usable = !events || options_.see_era(events->era);
             // A listing that has begun meanwhile gives newer entries.
-            if (options_.mirror(kind).listing_number() != listing) {
+            if (!usable || options_.mirror(kind).listing_number() != listing) {
                 f(std::nullopt);
                 return;
             }
@@ -189,8 +198,8 @@
 {
     auto const read = *std::exchange(read_, std::nullopt);
     freshness_.on_read(read.revision, read.began);
-    send_to(plan_.data_centre, false);
-    send_to(plan_.other_firsts, true);
+    send_floor(plan_.data_centre, false);
+    send_floor(plan_.other_firsts, true);
     arm();
 }
 
@@ -200,13 +209,18 @@
     arm();
 }
 
-void floor_keeper::send_to(std::vector<fleet_host> const& hosts, bool pass_on)
+void floor_keeper::send_floor(std::vector<fleet_host> const& hosts,
+                              bool pass_on)
+{
+    send_to(hosts, {.floor = freshness_.floor(core_now()), .pass_on = pass_on});
+}
+
+void floor_keeper::send_to(std::vector<fleet_host> const& hosts,
+                           floor_message const& message)
 {
-    if (!options_.send || hosts.empty()) {
+    if (!options_.send) {
         return;
     }
-    floor_message const message{.floor = freshness_.floor(core_now()),
-                                .pass_on = pass_on};
     for (auto const& it : hosts) {
         options_.send(it, message);
     }
@@ -217,13 +231,19 @@
     if (!started_) {
         return;
     }
+    if (message.floor.era > freshness_.era()) {
+        if (options_.hear_era(message.floor.era) && message.pass_on) {
+            send_to(plan_.data_centre, {.floor = message.floor});
+        }
+        return;
+    }
     auto const now = core_now();
     bool const newer = freshness_.on_floor(message.floor, now);
     for (auto const kind : bounded_kinds) {
         freshness_.on_copy(kind, options_.mirror(kind).revision(), now);
     }
     if (newer && message.pass_on) {
-        send_to(plan_.data_centre, false);
+        send_floor(plan_.data_centre, false);
     }
     arm();
 }
--- a/src/app/forward/floor_keeper.hpp
+++ b/src/app/forward/floor_keeper.hpp
@@ -35,6 +35,11 @@
         std::function<store_mirror const&(store_kind)> mirror;
         // Applies the events of a read to the mirror of the kind.
         std::function<void(store_kind, store_events)> on_events;
+        // An answer has this era. Returns whether it may be used.
+        std::function<bool(std::uint64_t)> see_era;
+        // Another host has named this era, which is newer. Returns whether it
+        // is the first to do so.
+        std::function<bool(std::uint64_t)> hear_era;
         // The store has dropped its history.
         std::function<void(store_kind)> on_history_gone;
         send_callback send; // may be null: then floors are not passed on
@@ -47,6 +52,8 @@
     // The mirrors are as old as at `as_of`, when the store had this revision.
     void start(std::uint64_t revision, time_point as_of);
     void stop();
+    // The mirrors are listed again in this era.
+    void enter_era(std::uint64_t era);
     void set_plan(floor_plan plan);
     // From another host.
     void on_message(floor_message const& message);
@@ -79,7 +86,9 @@
     // with no value when the call has failed.
     void call(store_kind kind, read_age age,
               std::function<void(std::optional<std::uint64_t>)> f);
-    void send_to(std::vector<fleet_host> const& hosts, bool pass_on);
+    void send_to(std::vector<fleet_host> const& hosts,
+                 floor_message const& message);
+    void send_floor(std::vector<fleet_host> const& hosts, bool pass_on);
 
     options options_;
     store_freshness freshness_;
--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -147,13 +147,21 @@
 }
 
 // The removal of an entry may reach the store late, after the next process of
-// the host has written its own.
+// the host has written its own. A restored store may lack the entry, or have it
+// although this host has removed it.
 void forward_control::restore_entry()
 {
+    auto const& mirror = watchers_[3]->mirror;
     bool listed = false;
-    watchers_[3]->mirror.for_each([&](std::string const& name, auto const&) {
+    mirror.for_each_present([&](std::string const& name, auto const&) {
         listed = listed || name == host_.name;
     });
+    if (mirror.listed() && std::exchange(entry_to_compare_, false)) {
+        entry_seen_ = entry_seen_ || registered_;
+        if (draining_ && listed) {
+            store_.remove_host(host_.name);
+        }
+    }
     bool const lost = std::exchange(entry_seen_, listed) && !listed;
     if (lost && registered_ && !draining_) {
         log_info("host_entry_missing", {{"host", host_.name}});
@@ -166,24 +174,30 @@
 {
     host_entry const entry{.renewed_ms = wall_clock_ms(), .host = host_};
     auto const began = core_now();
-    store_.put_host(host_.name, entry, registered_, [this, began](bool done) {
-        if (draining_) {
-            return;
-        }
-        if (done) {
-            listed_until_ = began + from_ms(entry_lifetime_ms) - listed_margin;
-        }
-        // Renewals are published with the event that they cause.
-        if (done && !std::exchange(registered_, true)) {
-            publish();
-        }
-        renewal_timer_.expires_after(done ? renewal_interval : renewal_retry);
-        renewal_timer_.async_wait([this](boost::system::error_code ec) {
-            if (!ec) {
-                renew_entry();
+    store_.put_host(
+        host_.name, entry, registered_,
+        [this, began, changes = era_.changes()](bool written) {
+            if (draining_) {
+                return;
+            }
+            // A store that has been restored meanwhile may have lost it.
+            bool const done = written && changes == era_.changes();
+            if (done) {
+                listed_until_ =
+                    began + from_ms(entry_lifetime_ms) - listed_margin;
+            }
+            // Renewals are published with the event that they cause.
+            if (done && !std::exchange(registered_, true)) {
+                publish();
             }
+            renewal_timer_.expires_after(done ? renewal_interval
+                                              : renewal_retry);
+            renewal_timer_.async_wait([this](boost::system::error_code ec) {
+                if (!ec) {
+                    renew_entry();
+                }
+            });
         });
-    });
 }
 
 void forward_control::deregister()
@@ -229,6 +243,7 @@
 forward_control::live_crashes(std::vector<fleet_host> const& hosts)
 {
     auto const oldest = wall_clock_ms() - crash_lifetime_ms;
+    compare_crashes(oldest);
     bool const first =
         !hosts.empty() &&
         std::none_of(hosts.begin(), hosts.end(),
@@ -283,6 +298,9 @@
                                 std::variant<store_page, store_error> result)
 {
     if (auto* const page = std::get_if<store_page>(&result)) {
+        if (!use_answer(it, page->era)) {
+            return;
+        }
         it.mirror.on_page(std::move(*page), core_now());
         on_success(it, true, duration::zero());
         start_other_kinds();
@@ -300,6 +318,9 @@
                                  std::variant<store_events, store_error> result)
 {
     if (auto* const events = std::get_if<store_events>(&result)) {
+        if (!use_answer(it, events->era)) {
+            return;
+        }
         bool const changed = !events->events.empty();
         it.mirror.on_events(std::move(*events), core_now());
         floors_.on_mirror(it.kind);
@@ -360,12 +381,8 @@
 {
     started_all_kinds_ = true;
     for (auto& it : watchers_) {
-        ++it->epoch;
-        it->failures = 0;
-        it->timer_armed = false;
-        it->timer.cancel();
         it->mirror.on_error(store_error::history_gone, 0);
-        call(*it);
+        list_again(*it);
     }
 }
 
@@ -453,17 +470,26 @@
 
 void forward_control::arm_expiry()
 {
-    auto& mirror = watchers_[1]->mirror;
-    auto const at = mirror.next_expiry();
+    std::optional<time_point> at;
+    for (auto const& it : watchers_) {
+        auto const next = it->mirror.next_expiry();
+        if (next && (!at || *next < *at)) {
+            at = next;
+        }
+    }
     if (!at) {
         return;
     }
     expiry_timer_.expires_after(std::max(duration::zero(), *at - core_now()));
-    expiry_timer_.async_wait([this, &mirror](boost::system::error_code ec) {
+    expiry_timer_.async_wait([this](boost::system::error_code ec) {
         if (ec) {
             return;
         }
-        if (mirror.expire(core_now())) {
+        bool expired = false;
+        for (auto& it : watchers_) {
+            expired = it->mirror.expire(core_now()) || expired;
+        }
+        if (expired) {
             publish();
         }
         else {
--- a/src/app/forward/forward_control.hpp
+++ b/src/app/forward/forward_control.hpp
@@ -4,6 +4,7 @@
 #include "app/forward/floor_keeper.hpp"
 #include "app/forward/forward_snapshot.hpp"
 #include "core/base/rng.hpp"
+#include "core/forward/store_era.hpp"
 #include "core/forward/store_mirror.hpp"
 #include "ports/store_port.hpp"
 
@@ -42,7 +43,7 @@
     void start();
     // A floor that another host has sent.
     void on_floor(floor_message const& message) { floors_.on_message(message); }
-    void report(forward_metrics& metrics) const { floors_.report(metrics); }
+    void report(forward_metrics& metrics) const;
     // Removes this host's entry from the store.
     void deregister();
     // Writes an entry to the store or removes it, and tries again until the
@@ -79,6 +80,16 @@
         bool sent = false; // a call is under way
     };
 
+    // A confirmed change of a crash entry, made again when the store has lost
+    // it in a restore.
+    struct kept_crash_change
+    {
+        crash_entry entry;
+        bool add = true;
+        bool shown = false; // the store has shown the change
+        time_point confirmed_at{};
+    };
+
     floor_keeper::options floor_options(forward_settings const& settings);
     watcher& watcher_of(store_kind kind);
     // Applies events that the floor_keeper has read.
@@ -94,6 +105,16 @@
     void on_success(watcher& it, bool changed, duration batch_delay);
     void on_failure(watcher& it, store_error error);
     void on_history_gone();
+    // An answer of the store has this era. Lists every kind again when it is a
+    // newer one. Returns whether the answer may be used in the present era.
+    bool see_era(std::uint64_t era);
+    // The same for an answer to the watcher's own call, which is of no use
+    // either when it has caused a new listing.
+    bool use_answer(watcher& it, std::uint64_t era);
+    // Another host has named a newer era. Returns whether it did so first.
+    bool hear_era(std::uint64_t era);
+    void enter_era(std::uint64_t era);
+    void list_again(watcher& it);
     void call_after(watcher& it, duration delay);
     duration retry_delay(std::uint32_t failures);
     void apply_manifest(store_value const& value);
@@ -105,6 +126,8 @@
     void change_crash(crash_entry const& entry, bool add);
     void send_crash_change(crash_entry const& entry);
     void send_crash_changes();
+    void keep_crash_change(crash_entry const& entry, bool add);
+    void compare_crashes(std::int64_t oldest_ms);
     std::vector<crash_entry> live_crashes(std::vector<fleet_host> const& hosts);
 
     store_port& store_;
@@ -117,11 +140,17 @@
     boost::asio::steady_timer expiry_timer_;
     boost::asio::steady_timer renewal_timer_;
     std::vector<crash_change> crash_changes_;
+    std::vector<kept_crash_change> kept_crash_changes_;
     boost::asio::steady_timer crash_timer_;
     duration max_batch_delay_;  // for upstreams
     bool registered_ = false;   // this host's entry has been written
     time_point listed_until_{}; // by the last written entry
     bool entry_seen_ = false;   // the store has shown this host's entry
+    store_era era_;
+    // The store was restored, and its list of the kind is still to be compared
+    // with what this host has written.
+    bool entry_to_compare_ = false;
+    bool crashes_to_compare_ = false;
     bool started_all_kinds_ = false;
     bool draining_ = false;
     std::shared_ptr<indexed_manifest const> manifest_;
--- a/src/app/forward/forward_control_crashes.cpp
+++ b/src/app/forward/forward_control_crashes.cpp
@@ -1,8 +1,11 @@
 #include "adapters/logging/logger.hpp"
+#include "app/core_time.hpp"
 #include "app/forward/forward_control.hpp"
 #include "core/forward/request_fingerprint.hpp"
 
 #include <algorithm>
+#include <utility>
+#include <vector>
 
 namespace snipemill {
 
@@ -16,6 +19,11 @@
 
 constexpr auto crash_retry_delay = std::chrono::milliseconds(300);
 
+// A confirmed change that the store has not shown for longer has been undone by
+// another host meanwhile: the copy of crash entries is never this old while the
+// store works.
+constexpr duration max_unshown = from_ms(10'000);
+
 } // namespace
 
 void forward_control::change_crash(crash_entry const& entry, bool add)
@@ -23,6 +31,9 @@
     std::erase_if(crash_changes_, [&](crash_change const& it) {
         return it.entry.same_crash(entry);
     });
+    std::erase_if(kept_crash_changes_, [&](kept_crash_change const& it) {
+        return it.entry.same_crash(entry);
+    });
     if (crash_changes_.size() >= max_crash_changes) {
         log_info("crash_not_shared", {{"print", to_text(entry.print)}});
         return;
@@ -60,12 +71,15 @@
     };
     auto const it = find();
     it->sent = true;
-    auto const done = [this, find, add = it->add](bool ok) {
+    auto const done = [this, find, add = it->add,
+                       changes = era_.changes()](bool ok) {
         auto const change = find();
         if (change == crash_changes_.end() || change->add != add) {
             return;
         }
-        if (ok) {
+        // A store that has been restored meanwhile may have lost the change.
+        if (ok && changes == era_.changes()) {
+            keep_crash_change(change->entry, add);
             crash_changes_.erase(change);
         }
         else {
@@ -80,4 +94,53 @@
     }
 }
 
+void forward_control::keep_crash_change(crash_entry const& entry, bool add)
+{
+    if (kept_crash_changes_.size() >= max_crash_changes) {
+        kept_crash_changes_.erase(kept_crash_changes_.begin());
+    }
+    kept_crash_changes_.push_back(
+        {.entry = entry, .add = add, .confirmed_at = core_now()});
+}
+
+// Makes the changes again that a restored store has lost. Forgets those that
+// another host or the operator has undone, and those of expired entries.
+void forward_control::compare_crashes(std::int64_t oldest_ms)
+{
+    auto const& mirror = watchers_[4]->mirror;
+    if (!mirror.listed()) {
+        return;
+    }
+    bool const restored = std::exchange(crashes_to_compare_, false);
+    std::vector<crash_entry> present;
+    mirror.for_each_present([&](std::string const&, store_value const& it) {
+        if (auto const* const entry = std::get_if<crash_entry>(&it)) {
+            present.push_back(*entry);
+        }
+    });
+    auto const oldest_unshown = core_now() - max_unshown;
+    std::vector<kept_crash_change> lost;
+    std::erase_if(kept_crash_changes_, [&](kept_crash_change& it) {
+        bool const has =
+            std::any_of(present.begin(), present.end(), [&](auto const& entry) {
+                return entry.same_crash(it.entry);
+            });
+        if (it.entry.seen_ms < oldest_ms ||
+            (!it.shown && it.confirmed_at < oldest_unshown)) {
+            return true;
+        }
+        if (has == it.add) {
+            it.shown = true;
+            return false;
+        }
+        if (restored) {
+            lost.push_back(it);
+        }
+        return it.shown;
+    });
+    for (auto const& it : lost) {
+        change_crash(it.entry, it.add);
+    }
+}
+
 } // namespace snipemill
--- a/src/app/forward/forward_control_floors.cpp
+++ b/src/app/forward/forward_control_floors.cpp
@@ -19,6 +19,8 @@
                 [this](store_kind kind, store_events events) {
                     on_read(kind, std::move(events));
                 },
+            .see_era = [this](std::uint64_t era) { return see_era(era); },
+            .hear_era = [this](std::uint64_t era) { return hear_era(era); },
             .on_history_gone =
                 [this](store_kind kind) {
                     on_failure(watcher_of(kind), store_error::history_gone);
--- a/src/core/forward/store_freshness.cpp
+++ b/src/core/forward/store_freshness.cpp
@@ -74,8 +74,22 @@
     as_of_ = std::max(as_of_, as_of);
 }
 
+void store_freshness::enter_era(std::uint64_t era)
+{
+    if (era == era_) {
+        return;
+    }
+    era_ = era;
+    kinds_ = {};
+    revision_ = 0;
+    not_before_ = {};
+}
+
 bool store_freshness::on_floor(store_floor const& it, time_point now)
 {
+    if (it.era != era_) {
+        return false;
+    }
     for (std::size_t i = 0; i < kinds_.size(); ++i) {
         auto& kind = kinds_[i];
         if (it.floors[i] > kind.floor) {
@@ -128,7 +142,7 @@
 
 store_floor store_freshness::floor(time_point now) const
 {
-    store_floor out{.revision = revision_, .age = age(now)};
+    store_floor out{.era = era_, .revision = revision_, .age = age(now)};
     std::transform(kinds_.begin(), kinds_.end(), out.floors.begin(),
                    [](kind_state const& it) { return it.floor; });
     return out;
--- a/src/core/forward/store_freshness.hpp
+++ b/src/core/forward/store_freshness.hpp
@@ -18,6 +18,7 @@
 // older revision than the kind's floor may lack changes.
 struct store_floor
 {
+    std::uint64_t era = 0;      // of the store
     std::uint64_t revision = 0; // of the store when it was read
     std::array<std::uint64_t, bounded_kinds.size()> floors{};
     duration age{}; // since the read began
@@ -60,7 +61,10 @@
                       time_point now);
     // All kinds are as old as at `as_of`, when the store had this revision.
     void on_read(std::uint64_t revision, time_point as_of);
-    // From another host. Returns whether it is newer than what is known.
+    // Floors and revisions of the eras before are void.
+    void enter_era(std::uint64_t era);
+    // From another host. Returns whether it is newer than what is known. Only
+    // floors of the same era count.
     bool on_floor(store_floor const& it, time_point now);
     // The copy of the kind has this revision.
     void on_copy(store_kind kind, std::uint64_t revision, time_point now);
@@ -76,6 +80,7 @@
 
     store_floor floor(time_point now) const;
     std::uint64_t floor_of(store_kind kind) const;
+    std::uint64_t era() const { return era_; }
     // Revision that the store is known to have had.
     std::uint64_t revision() const { return revision_; }
     // Time for which the store may have changed without this host's knowledge.
@@ -97,6 +102,7 @@
 
     store_freshness_settings settings_;
     std::array<kind_state, bounded_kinds.size()> kinds_;
+    std::uint64_t era_ = 0;
     std::uint64_t revision_ = 0;
     time_point as_of_{};
     time_point not_before_{}; // of the next read
--- a/src/core/forward/store_mirror.cpp
+++ b/src/core/forward/store_mirror.cpp
@@ -11,16 +11,17 @@
 // as unavailable.
 constexpr std::uint32_t outage_failures = 2;
 
+} // namespace
+
 // Entries of draining upstreams and of other kinds of objects are removed at
-// once when they are missing.
-bool held_when_missing(store_value const& value)
+// once when they are missing. A restored store lacks entries of all kinds for a
+// moment until their writers have written them again.
+bool store_mirror::held_when_missing(store_value const& value) const
 {
     auto const* const record = std::get_if<upstream_record>(&value);
-    return record && !record->draining;
+    return record ? !record->draining : new_era_;
 }
 
-} // namespace
-
 mirror_action store_mirror::next_action() const
 {
     if (listing_) {
@@ -52,8 +53,30 @@
     }
 }
 
+bool store_mirror::enter_era(std::uint64_t era)
+{
+    era_ = era;
+    new_era_ = true;
+    revision_ = 0;
+    changed_revision_ = 0;
+    required_revision_ = 0;
+    outdated_ = false;
+    // Missing entries are held as after an outage.
+    outage_ = true;
+    if (listing_ && current_listing_ && after_.empty()) {
+        return false;
+    }
+    restart_listing();
+    return true;
+}
+
 void store_mirror::on_page(store_page&& page, time_point now)
 {
+    // Pages of two eras are no listing, and a watch cannot fill the gap.
+    if (page.era != era_) {
+        restart_listing();
+        return;
+    }
     oldest_revision_ = after_.empty()
                            ? page.revision
                            : std::min(oldest_revision_, page.revision);
@@ -98,11 +121,15 @@
     listing_ = false;
     listed_ = true;
     outage_ = false;
+    new_era_ = false;
     confirmed_at_ = now;
 }
 
 void store_mirror::on_events(store_events&& events, time_point now)
 {
+    if (events.era != era_) {
+        return;
+    }
     outage_ = false;
     if (events.revision < revision_) {
         return;
@@ -128,7 +155,9 @@
         outage_ = true;
     }
     listed_ = listed_ || outdated_;
-    if (error == store_error::history_gone) {
+    bool const current = error == store_error::history_gone ||
+                         (listing_ && error == store_error::older_era);
+    if (current) {
         restart_listing();
     }
     else if (listing_) {
--- a/src/core/forward/store_mirror.hpp
+++ b/src/core/forward/store_mirror.hpp
@@ -58,6 +58,12 @@
     // before this copy's revision is ignored: an outdated watch may answer
     // after a current one.
     void on_events(store_events&& events, time_point now);
+    // The store was restored from an older copy: revisions count from there,
+    // and all is listed again. Returns false when the first page of a current
+    // listing is awaited, which serves for that.
+    bool enter_era(std::uint64_t era);
+    // The era of the first answer, which begins nothing new.
+    void start_in_era(std::uint64_t era) { era_ = era; }
     // failures: consecutive failed calls, including this one.
     void on_error(store_error error, std::uint32_t failures);
 
@@ -78,6 +84,7 @@
     bool listed() const { return listed_ && !listing_; }
     // Grows with each listing.
     std::uint64_t listing_number() const { return generation_; }
+    std::uint64_t era() const { return era_; }
     // Removes entries whose hold time is over. Returns whether there were any.
     bool expire(time_point now);
     // Earliest end of a hold time.
@@ -91,6 +98,17 @@
         }
     }
 
+    // Calls f for the entries that the store has, without those that are held.
+    template <class F>
+    void for_each_present(F f) const
+    {
+        for (auto const& [name, it] : entries_) {
+            if (!it.held_until) {
+                f(name, it.value);
+            }
+        }
+    }
+
 private:
     struct mirror_entry
     {
@@ -103,6 +121,7 @@
     void put(store_entry&& entry);
     void remove(std::string const& name, time_point until);
     void restart_listing();
+    bool held_when_missing(store_value const& value) const;
 
     store_mirror_settings settings_;
     std::map<std::string, mirror_entry> entries_;
@@ -112,6 +131,9 @@
     std::uint64_t changed_revision_ = 0;
     std::uint64_t oldest_revision_ = 0; // minimum over the pages of a listing
     std::uint64_t required_revision_ = 0;
+    std::uint64_t era_ = 0;
+    // No listing has completed in this era, which is not the first.
+    bool new_era_ = false;
     bool listing_ = true;
     bool listed_ = false;
     bool current_listing_ = false; // the listing may not be outdated
--- a/src/ports/store_port.hpp
+++ b/src/ports/store_port.hpp
@@ -65,6 +65,7 @@
     std::vector<store_entry> entries;
     bool truncated = false;     // more entries follow after the last name
     std::uint64_t revision = 0; // of the store when it was read
+    std::uint64_t era = 0;      // of the store; revisions hold within one
 };
 
 struct store_event
@@ -77,17 +78,20 @@
 {
     std::vector<store_event> events;
     std::uint64_t revision = 0; // to watch from next
+    std::uint64_t era = 0;      // of the store
 };
 
 enum class store_error : std::uint8_t
 {
     history_gone, // events since the revision are lost; list again
-    unavailable   // no answer, or a refusal
+    unavailable,  // no answer, or a refusal
+    older_era     // the answer is older than the store's last restore
 };
 
-inline constexpr name_table<store_error, 2> store_error_names{{
+inline constexpr name_table<store_error, 3> store_error_names{{
     {store_error::history_gone, "history_gone"},
     {store_error::unavailable, "unavailable"},
+    {store_error::older_era, "older_era"},
 }};
 
 // Whether a call may be answered with data that is a little old, which costs
--- a/tests/adapters/codec/host_codec_test.cpp
+++ b/tests/adapters/codec/host_codec_test.cpp
@@ -56,6 +56,15 @@
     CHECK(out.pass_on);
 }
 
+// Guards against floors that are compared across a restore of the store.
+TEST(host_codec, a_floor_carries_the_era)
+{
+    auto const out =
+        passed_on(floor_message{.floor = {.era = 3, .revision = 530}});
+    UNSIGNED_LONGS_EQUAL(3, out.floor.era);
+    UNSIGNED_LONGS_EQUAL(0, passed_on(floor_sample).floor.era);
+}
+
 // Guards against a grant that is taken for another request, and against a
 // request for more than was wanted.
 TEST(host_codec, keeps_every_field_of_cap_messages)
--- a/tests/core/forward/store_freshness_test.cpp
+++ b/tests/core/forward/store_freshness_test.cpp
@@ -107,3 +107,20 @@
     CHECK(it.age(at(900)) == from_ms(200));
     CHECK(it.floor(at(900)).age == from_ms(200));
 }
+
+// Guards against a floor of the store before the restore that makes a copy of
+// the store after it seem behind, or a copy of before seem new enough.
+TEST(store_freshness, floors_of_another_era_do_not_count)
+{
+    it.on_copy(store_kind::manifests, 40, at(0));
+    it.enter_era(1);
+    CHECK_FALSE(it.on_floor(floor_of_all(90, from_ms(0)), at(10)));
+    CHECK_FALSE(it.read_kind_at(store_kind::manifests).has_value());
+    UNSIGNED_LONGS_EQUAL(0, it.revision());
+    auto own = floor_of_all(12, from_ms(0));
+    own.era = 1;
+    CHECK(it.on_floor(own, at(10)));
+    // The copy at 40 was of the era before.
+    CHECK(it.read_kind_at(store_kind::manifests).has_value());
+    UNSIGNED_LONGS_EQUAL(1, it.floor(at(10)).era);
+}
--- a/tests/core/forward/store_mirror_test.cpp
+++ b/tests/core/forward/store_mirror_test.cpp
@@ -176,3 +176,118 @@
     UNSIGNED_LONGS_EQUAL(25, mirror.revision());
     UNSIGNED_LONGS_EQUAL(20, mirror.changed_revision());
 }
+
+namespace {
+
+store_page in_era(std::uint64_t era, store_page page)
+{
+    page.era = era;
+    return page;
+}
+
+} // namespace
+
+// The store has passed the revision of the copy again, so a watch from it would
+// show nothing. Guards against an upstream that is registered at a revision
+// which was issued twice, and that no host learns of.
+TEST(store_mirror, lists_again_from_the_first_page_in_a_new_era)
+{
+    mirror.on_page(page({entry("a"), entry("b")}, 11), now);
+    CHECK(mirror.enter_era(1));
+    auto const next = std::get<list_action>(mirror.next_action());
+    CHECK(next.after.empty());
+    CHECK(next.age == read_age::current);
+    mirror.on_page(in_era(1, page({entry("a"), entry("c")}, 11)), now);
+    STRCMP_EQUAL("abc", names().c_str());
+    UNSIGNED_LONGS_EQUAL(11, mirror.revision());
+    // Upstreams that the restored copy lacks write themselves again in 2 s.
+    now += from_ms(1900);
+    STRCMP_EQUAL("abc", names().c_str());
+    now += from_ms(200);
+    STRCMP_EQUAL("ac", names().c_str());
+}
+
+// Guards against a copy that keeps its high revision and ignores the lower ones
+// that the restored store issues.
+TEST(store_mirror, revisions_begin_anew_in_a_new_era)
+{
+    mirror.on_page(page({entry("a")}, 40), now);
+    mirror.enter_era(1);
+    mirror.on_page(in_era(1, page({entry("a")}, 12)), now);
+    UNSIGNED_LONGS_EQUAL(12, mirror.revision());
+    UNSIGNED_LONGS_EQUAL(12, mirror.changed_revision());
+    mirror.on_events(
+        {.events = {{.entry = entry("d")}}, .revision = 13, .era = 1}, now);
+    STRCMP_EQUAL("ad", names().c_str());
+}
+
+// Guards against late answers of the older era that change the copy.
+TEST(store_mirror, ignores_events_of_another_era)
+{
+    mirror.on_page(page({entry("a")}, 10), now);
+    mirror.enter_era(1);
+    mirror.on_page(in_era(1, page({entry("a")}, 10)), now);
+    mirror.on_events({.events = {{.entry = entry("b")}}, .revision = 50}, now);
+    STRCMP_EQUAL("a", names().c_str());
+    UNSIGNED_LONGS_EQUAL(10, mirror.revision());
+}
+
+// Guards against a listing that is made up of the store before and after.
+TEST(store_mirror, pages_of_two_eras_are_listed_again)
+{
+    mirror.on_page(page({entry("a")}, 10, true), now);
+    mirror.on_page(in_era(1, page({entry("c")}, 10)), now);
+    CHECK_FALSE(mirror.ready());
+    CHECK(std::get<list_action>(mirror.next_action()).after.empty());
+    // The same when the host learns of the era between the two pages.
+    mirror.on_page(page({entry("a")}, 10, true), now);
+    CHECK(mirror.enter_era(1));
+    CHECK(std::get<list_action>(mirror.next_action()).after.empty());
+    mirror.on_page(in_era(1, page({entry("a")}, 10, true)), now);
+    CHECK_FALSE(mirror.listed());
+    mirror.on_page(in_era(1, page({entry("c")}, 10)), now);
+    CHECK(mirror.listed());
+}
+
+// A watch gets 410, and the listing that follows shows the new era. Guards
+// against hosts that list each kind twice.
+TEST(store_mirror, a_current_listing_that_awaits_its_first_page_goes_on)
+{
+    mirror.on_page(page({entry("a")}, 10), now);
+    mirror.on_error(store_error::history_gone, 1);
+    CHECK_FALSE(mirror.enter_era(1));
+    mirror.on_page(in_era(1, page({entry("a")}, 5)), now);
+    CHECK(mirror.listed());
+}
+
+// Guards against a lagging copy that answers a listing again and again.
+TEST(store_mirror, a_listing_of_an_older_era_is_followed_by_a_current_one)
+{
+    mirror.start_in_era(1);
+    mirror.on_error(store_error::older_era, 1);
+    CHECK(std::get<list_action>(mirror.next_action()).age == read_age::current);
+}
+
+// Guards against requests into an evacuated data centre in the moment until the
+// operator has written the evacuation again.
+TEST(store_mirror, holds_a_missing_evacuation_in_a_new_era)
+{
+    store_entry const evacuation{.name = "dc", .value = evacuation_entry{}};
+    mirror.on_page(page({evacuation}, 10), now);
+    mirror.enter_era(1);
+    mirror.on_page(in_era(1, page({}, 9)), now);
+    STRCMP_EQUAL("dc", names().c_str());
+    int present = 0;
+    mirror.for_each_present([&](auto const&, auto const&) { ++present; });
+    LONGS_EQUAL(0, present);
+    now += from_ms(2100);
+    STRCMP_EQUAL("", names().c_str());
+    // In the same era it ends at once.
+    mirror.on_events(
+        {.events = {{.entry = evacuation}}, .revision = 10, .era = 1}, now);
+    mirror.on_events({.events = {{.entry = evacuation, .deleted = true}},
+                      .revision = 11,
+                      .era = 1},
+                     now);
+    STRCMP_EQUAL("", names().c_str());
+}
--- a/tests/platform/object_store_test.cpp
+++ b/tests/platform/object_store_test.cpp
@@ -150,3 +150,38 @@
     CHECK(run_until(io, [&] { return events.has_value(); }));
     CHECK(std::get<store_error>(*events) == store_error::unavailable);
 }
+
+// Guards against entries of a restored store that are taken for those before,
+// and against an answer without a readable era that counts as era 0.
+TEST(object_store, reads_the_era_of_answers)
+{
+    auto const with_era = [](std::string const& era) {
+        auto out =
+            answer("200 OK",
+                   R"({"items": [], "truncated": false, "store_revision": 3})");
+        return out.insert(out.find("\r\n") + 2, "Store-Era: " + era + "\r\n");
+    };
+    list();
+    request();
+    server.peers[0]->in.clear();
+    server.peers[0]->send(with_era("4"));
+    CHECK(run_until(io, [&] { return page.has_value(); }));
+    UNSIGNED_LONGS_EQUAL(4, std::get<store_page>(*page).era);
+    page.reset();
+    list();
+    request();
+    server.peers[0]->send(with_era("4x"));
+    CHECK(run_until(io, [&] { return page.has_value(); }));
+    CHECK(std::get<store_error>(*page) == store_error::unavailable);
+}
+
+// Guards against a change of behaviour with a store that has no eras.
+TEST(object_store, an_answer_without_an_era_is_of_era_0)
+{
+    watch();
+    request();
+    server.peers[0]->send(
+        answer("200 OK", R"({"events": [], "store_revision": 531})"));
+    CHECK(run_until(io, [&] { return events.has_value(); }));
+    UNSIGNED_LONGS_EQUAL(0, std::get<store_events>(*events).era);
+}
