Check the store's era in the model and with real processes

Change: part ERA of the model (two hosts, a store that goes back); the stand-in store goes back to an earlier time and names its era.

--- a/spec/snipemill.pml
+++ b/spec/snipemill.pml
@@ -1,11 +1,12 @@
 /*
- * Core protocol of snipemill, checked by Spin (scripts/check-model). Three
+ * Core protocol of snipemill, checked by Spin (scripts/check-model). Four
  * parts are searched one after the other:
  *   -DTICKETS  operators race for ticket numbers, and a reader reads both
  *              objects of the configuration one by one
  *   -DSPREAD   hosts of one data centre read, pull, are paused, are replaced
  *              and are cut off from the platform
  *   -DCLAIMS   hosts race to claim one submit key
+ *   -DERA      two hosts follow a store that comes back from an older copy
  *
  * Each -DBROKEN_xxx removes one rule; Spin must then find an error. An answer
  * that takes long is a value that a process took earlier and uses later, so a
@@ -477,3 +478,194 @@
 }
 
 #endif /* CLAIMS */
+
+#ifdef ERA
+
+/*
+ * A store that comes back from an older copy, and two hosts that follow it
+ * with listings of two pages, watches and floors. Each host is sequential; an
+ * answer that is under way is held in the host until it is used.
+ */
+
+#define MAX_REVISION 3
+#define MAX_ERA 1
+#define SLOTS 8 /* (MAX_ERA + 1) * (MAX_REVISION + 1) */
+#define AT(e, r) ((e) * (MAX_REVISION + 1) + (r))
+
+/* The store: two entries, with the revisions of their last writes. */
+byte era = 0;
+byte revision = 1;
+byte entry[2];
+byte written[2];
+byte next_value = 1;
+
+/* The copy that the store comes back from. */
+byte copy_revision = 1;
+byte copy_written[2];
+
+/* What the store held at each revision of each era. */
+byte truth0[SLOTS];
+byte truth1[SLOTS];
+
+/* What the hosts have; a listed host watches. */
+byte my_era[2];
+byte my_revision[2];
+byte my0[2];
+byte my1[2];
+bool listed[2];
+
+/* A floor on its way to the host; floors may be lost or late. */
+bool floor_sent[2];
+byte floor_era[2];
+byte floor_revision[2];
+
+inline record()
+{
+    truth0[AT(era, revision)] = entry[0];
+    truth1[AT(era, revision)] = entry[1]
+}
+
+/* The operator and the upstreams: each value is written once. */
+proctype writer()
+{
+    byte i;
+    do
+    :: atomic { revision < MAX_REVISION && next_value < 5 ->
+            if
+            :: i = 0
+            :: i = 1
+            fi;
+            revision++;
+            entry[i] = next_value;
+            written[i] = revision;
+            next_value++;
+            record();
+            i = 0 }
+    /* A copy is taken. */
+    :: atomic { copy_revision != revision ->
+            copy_revision = revision;
+            copy_written[0] = written[0]; copy_written[1] = written[1] }
+    /* The store comes back from it. */
+    :: atomic { era < MAX_ERA && copy_revision < revision ->
+            revision = copy_revision;
+            entry[0] = truth0[AT(era, revision)];
+            entry[1] = truth1[AT(era, revision)];
+            era++;
+            written[0] = copy_written[0]; written[1] = copy_written[1];
+            record() }
+    od
+}
+
+/* Every copy that is watched from is what the store held at that revision. */
+#define CHECK_COPY(e) \
+    assert(my0[me] == truth0[AT(e, my_revision[me])] && \
+           my1[me] == truth1[AT(e, my_revision[me])])
+
+/* store_mirror::enter_era: list again. */
+#ifdef BROKEN_ANSWERS_WITHOUT_ERA
+#define ENTER(e) false
+#else
+#define ENTER(e) ((e) != my_era[me])
+#endif
+
+proctype host(byte me)
+{
+    byte got_era, got_revision, got0, got1;
+    bool news0, news1, gone;
+    byte page_era, page_revision, page0;
+
+    do
+    /* Two pages of a listing; the watch begins at the older revision. */
+    :: !listed[me] ->
+        atomic {
+            page_era = era; page_revision = revision; page0 = entry[0]
+        };
+        /* on_page, while the second page is under way */
+        atomic {
+            got_era = era; got_revision = revision; got1 = entry[1]
+        };
+        atomic {
+            if
+#ifndef BROKEN_PAGES_OF_TWO_ERAS
+            :: got_era != page_era -> skip /* list again */
+#endif
+            :: else ->
+                my0[me] = page0;
+                my1[me] = got1;
+                my_era[me] = got_era;
+                listed[me] = true;
+                if
+                :: got_revision > page_revision ->
+                    /* The watch repeats what changed between the pages. */
+                    my_revision[me] = page_revision
+                :: else ->
+                    my_revision[me] = got_revision;
+                    CHECK_COPY(got_era)
+                fi
+            fi;
+            got_era = 0; got_revision = 0; got1 = 0;
+            page_era = 0; page_revision = 0; page0 = 0
+        }
+    /* A watch; the answer may be late. */
+    :: listed[me] ->
+        atomic {
+            got_era = era;
+            got_revision = revision;
+            got0 = entry[0];
+            got1 = entry[1];
+            gone = my_revision[me] > revision; /* 410 */
+            news0 = written[0] > my_revision[me];
+            news1 = written[1] > my_revision[me]
+        };
+        /* on_events */
+        atomic {
+            if
+            :: gone || ENTER(got_era) -> listed[me] = false
+            :: else ->
+                if :: news0 -> my0[me] = got0 :: else fi;
+                if :: news1 -> my1[me] = got1 :: else fi;
+                my_revision[me] = got_revision;
+                CHECK_COPY(got_era)
+            fi;
+            got_era = 0; got_revision = 0; got0 = 0; got1 = 0;
+            news0 = false; news1 = false; gone = false
+        }
+    /* floor_keeper: a host that is up to date tells the other. */
+    :: atomic { listed[me] && !floor_sent[1 - me] ->
+            floor_sent[1 - me] = true;
+            floor_era[1 - me] = my_era[me];
+            floor_revision[1 - me] = my_revision[me] }
+    :: atomic { floor_sent[me] -> /* lost */
+            floor_sent[me] = false;
+            floor_era[me] = 0; floor_revision[me] = 0 }
+    /* on_message: the copy counts as new enough, or a read follows. */
+    :: atomic { floor_sent[me] && listed[me] ->
+            if
+#ifndef BROKEN_FLOORS_WITHOUT_ERA
+            :: floor_era[me] < my_era[me] -> skip /* ignored */
+            :: floor_era[me] > my_era[me] -> listed[me] = false
+#endif
+            :: else ->
+                if
+                :: my_revision[me] >= floor_revision[me] ->
+                    /* Not of a store that the floor has left behind. */
+                    assert(my_era[me] >= floor_era[me])
+                :: else -> listed[me] = false
+                fi
+            fi;
+            floor_sent[me] = false;
+            floor_era[me] = 0; floor_revision[me] = 0 }
+    od
+}
+
+init
+{
+    atomic {
+        record();
+        run writer();
+        run host(0);
+        run host(1)
+    }
+}
+
+#endif /* ERA */
--- a/standins/fleet/store.cpp
+++ b/standins/fleet/store.cpp
@@ -1,5 +1,7 @@
 #include "fleet/store.hpp"
 
+#include "platform/names.hpp"
+
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 
@@ -10,6 +12,7 @@
 namespace standin {
 
 namespace json = boost::json;
+namespace names = snipemill::platform::names;
 using snipemill::http_request;
 using snipemill::http_responder;
 using snipemill::http_response;
@@ -133,6 +136,34 @@
     }
 }
 
+// Watches that wait stay open, as those of a store whose connections survive
+// the restore.
+void store::restore(std::chrono::steady_clock::time_point copied_at)
+{
+    while (!history_.empty() && history_.back().at > copied_at) {
+        history_.pop_back();
+    }
+    revision_ = history_.empty() ? 1 : history_.back().revision;
+    objects_.clear();
+    for (auto const& it : history_) {
+        if (it.deleted) {
+            objects_[it.kind].erase(it.name);
+        }
+        else {
+            objects_[it.kind][it.name] = it.object;
+        }
+    }
+    ++era_;
+}
+
+http_response store::with_era(http_response answer) const
+{
+    if (era_ > 0) {
+        answer.headers.emplace_back(names::store_era, std::to_string(era_));
+    }
+    return answer;
+}
+
 std::uint64_t store::visible_revision(bool may_be_outdated) const
 {
     if (!may_be_outdated || outdated_by_ <= std::chrono::milliseconds(0)) {
@@ -201,7 +232,7 @@
         }
         auto const respond = std::move(it->respond);
         it = watches_.erase(it);
-        respond({.body = std::move(*events)});
+        respond(with_era({.body = std::move(*events)}));
     }
 }
 
@@ -210,12 +241,12 @@
 {
     ++calls_;
     if (state_ == store_state::unavailable) {
-        respond({.status = 503, .body = "{}"});
+        respond(with_era({.status = 503, .body = "{}"}));
         return nullptr;
     }
     auto const path = request_path::read(request.target);
     if (!path) {
-        respond({.status = 404, .body = "{}"});
+        respond(with_era({.status = 404, .body = "{}"}));
         return nullptr;
     }
     current_reads_ +=
@@ -228,7 +259,7 @@
         // Never answered: the call ends by the time-out of the client.
         return [] {};
     }
-    respond(std::move(answer));
+    respond(with_era(std::move(answer)));
     return nullptr;
 }
 
@@ -258,14 +289,14 @@
                                    http_responder const& respond)
 {
     auto const from = parse_number(path.query.at("watch"));
-    if (from < oldest_revision_) {
-        respond({.status = 410, .body = "{}"});
+    if (from < oldest_revision_ || from > revision_) {
+        respond(with_era({.status = 410, .body = "{}"}));
         return nullptr;
     }
     bool const may_be_outdated = path.may_be_outdated();
     if (auto events =
             events_since(path.kind, from, visible_revision(may_be_outdated))) {
-        respond({.body = std::move(*events)});
+        respond(with_era({.body = std::move(*events)}));
         return nullptr;
     }
     auto const wait = path.query.find("wait_ms");
@@ -286,8 +317,8 @@
         auto const revision =
             std::max(it->revision, visible_revision(it->may_be_outdated));
         watches_.erase(it);
-        reply({.body = R"({"events":[],"store_revision":)" +
-                       std::to_string(revision) + "}"});
+        reply(with_era({.body = R"({"events":[],"store_revision":)" +
+                                std::to_string(revision) + "}"}));
     });
     auto const* const timer = it->timer.get();
     return [this, timer] {
--- a/standins/fleet/store.hpp
+++ b/standins/fleet/store.hpp
@@ -45,6 +45,12 @@
     void set_outdated_by(std::chrono::milliseconds lag) { outdated_by_ = lag; }
     // Drops the history. Watches from an earlier revision get 410.
     void compact() { oldest_revision_ = revision_; }
+    // Comes back as it was at that time: what was written since is lost, and
+    // its revisions are issued again. The era rises by one; answers name it
+    // from then on.
+    void restore(std::chrono::steady_clock::time_point copied_at);
+    std::uint64_t era() const { return era_; }
+    std::uint64_t revision() const { return revision_; }
     std::uint64_t calls() const { return calls_; }
     // Reads that do not accept outdated data.
     std::uint64_t current_reads() const { return current_reads_; }
@@ -75,6 +81,8 @@
                                      snipemill::http_responder const& respond);
     snipemill::http_response write(snipemill::http_request const& request,
                                    request_path const& path);
+    // Adds the era to an answer.
+    snipemill::http_response with_era(snipemill::http_response answer) const;
     snipemill::http_response list(request_path const& path) const;
     // Revision that a call sees.
     std::uint64_t visible_revision(bool may_be_outdated) const;
@@ -92,6 +100,7 @@
     boost::asio::io_context& io_;
     store_state state_ = store_state::up;
     std::uint64_t revision_ = 1;
+    std::uint64_t era_ = 0;             // named in answers unless it is 0
     std::uint64_t oldest_revision_ = 0; // watches from before it get 410
     std::uint64_t calls_ = 0;
     std::uint64_t current_reads_ = 0;
