--- a/tests/process/store_era_test.cpp
+++ b/tests/process/store_era_test.cpp
@@ -20,7 +20,7 @@
 // The store comes back from a copy that is some seconds old.
 TEST_GROUP(store_era)
 {
-    forward_fixture f{"store-era"};
+    forward_fixture f{"restored-store"};
     std::size_t next_id = 0;
 
     void publish_extra_route(bool exists)
