Keep hosts in the lists of a restored store until they expire

Cause: an owner of accounts grants until its written entry expires, on the promise that others keep it in their lists until then. A restored store that lacks the entry, or has an older renewal, would break the promise, and a host that is cut off cannot see it. Change: in a new era a missing host entry is held for its lifetime, and an older renewal does not replace a newer one. restore_entry moves to forward_control_era.cpp. Evidence: store_mirror.holds_a_host_entry_until_it_has_expired_in_a_new_era, test_core_forward and test_app_forward pass.

--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -146,30 +146,6 @@
     }
 }
 
-// The removal of an entry may reach the store late, after the next process of
-// the host has written its own. A restored store may lack the entry, or have it
-// although this host has removed it.
-void forward_control::restore_entry()
-{
-    auto const& mirror = watchers_[3]->mirror;
-    bool listed = false;
-    mirror.for_each_present([&](std::string const& name, auto const&) {
-        listed = listed || name == host_.name;
-    });
-    if (mirror.listed() && std::exchange(entry_to_compare_, false)) {
-        entry_seen_ = entry_seen_ || registered_;
-        if (draining_ && listed) {
-            store_.remove_host(host_.name);
-        }
-    }
-    bool const lost = std::exchange(entry_seen_, listed) && !listed;
-    if (lost && registered_ && !draining_) {
-        log_info("host_entry_missing", {{"host", host_.name}});
-        registered_ = false;
-        renew_entry();
-    }
-}
-
 void forward_control::renew_entry()
 {
     host_entry const entry{.renewed_ms = wall_clock_ms(), .host = host_};
@@ -214,13 +190,17 @@
 {
     auto const oldest = wall_clock_ms() - entry_lifetime_ms;
     std::vector<fleet_host> out;
-    watchers_[3]->mirror.for_each(
+    auto const& mirror = watchers_[3]->mirror;
+    mirror.for_each([&](std::string const&, store_value const& it) {
+        auto const* const entry = std::get_if<host_entry>(&it);
+        if (entry && entry->renewed_ms >= oldest) {
+            out.push_back(entry->host);
+        }
+    });
+    mirror.for_each_present(
         [&](std::string const& name, store_value const& it) {
             auto const* const entry = std::get_if<host_entry>(&it);
-            if (entry && entry->renewed_ms >= oldest) {
-                out.push_back(entry->host);
-            }
-            else if (name != host_.name) {
+            if (name != host_.name && !(entry && entry->renewed_ms >= oldest)) {
                 store_.remove_host(name);
             }
         });
--- a/src/app/forward/forward_control_era.cpp
+++ b/src/app/forward/forward_control_era.cpp
@@ -2,6 +2,7 @@
 #include "app/forward/forward_control.hpp"
 
 #include <string>
+#include <utility>
 
 namespace snipemill {
 
@@ -68,6 +69,30 @@
     return true;
 }
 
+// The removal of an entry may reach the store late, after the next process of
+// the host has written its own. A restored store may lack the entry, or have it
+// although this host has removed it.
+void forward_control::restore_entry()
+{
+    auto const& mirror = watchers_[3]->mirror;
+    bool listed = false;
+    mirror.for_each_present([&](std::string const& name, auto const&) {
+        listed = listed || name == host_.name;
+    });
+    if (mirror.listed() && std::exchange(entry_to_compare_, false)) {
+        entry_seen_ = entry_seen_ || registered_;
+        if (draining_ && listed) {
+            store_.remove_host(host_.name);
+        }
+    }
+    bool const lost = std::exchange(entry_seen_, listed) && !listed;
+    if (lost && registered_ && !draining_) {
+        log_info("host_entry_missing", {{"host", host_.name}});
+        registered_ = false;
+        renew_entry();
+    }
+}
+
 void forward_control::list_again(watcher& it)
 {
     ++it.epoch;
--- a/src/core/forward/store_mirror.cpp
+++ b/src/core/forward/store_mirror.cpp
@@ -32,13 +32,32 @@
     return watch_action{.revision = revision_};
 }
 
+// Whether the entry of a restored store is an older one of the same host.
+bool store_mirror::outdated_renewal(store_entry const& entry) const
+{
+    auto const it = entries_.find(entry.name);
+    auto const* const next = std::get_if<host_entry>(&entry.value);
+    if (!new_era_ || !next || it == entries_.end()) {
+        return false;
+    }
+    auto const* const known = std::get_if<host_entry>(&it->second.value);
+    return known && known->renewed_ms > next->renewed_ms;
+}
+
 void store_mirror::put(store_entry&& entry)
 {
+    if (outdated_renewal(entry)) {
+        auto& it = entries_[entry.name];
+        it.generation = generation_;
+        it.held_until.reset();
+        return;
+    }
     entries_[std::move(entry.name)] = {.value = std::move(entry.value),
                                        .generation = generation_};
 }
 
-void store_mirror::remove(std::string const& name, time_point until)
+void store_mirror::remove(std::string const& name, time_point until,
+                          time_point now)
 {
     auto const it = entries_.find(name);
     if (it == entries_.end()) {
@@ -49,7 +68,9 @@
         return;
     }
     if (!it->second.held_until) {
-        it->second.held_until = until;
+        bool const host = std::holds_alternative<host_entry>(it->second.value);
+        it->second.held_until =
+            host ? now + settings_.missing_host_hold : until;
     }
 }
 
@@ -109,7 +130,7 @@
             entries_.erase(name);
         }
         else {
-            remove(name, until);
+            remove(name, until, now);
         }
     }
     // The watch from the oldest revision repeats changes that happened between
@@ -136,7 +157,7 @@
     }
     for (auto& it : events.events) {
         if (it.deleted) {
-            remove(it.entry.name, now + settings_.missing_hold);
+            remove(it.entry.name, now + settings_.missing_hold, now);
         }
         else {
             put(std::move(it.entry));
--- a/src/core/forward/store_mirror.hpp
+++ b/src/core/forward/store_mirror.hpp
@@ -24,6 +24,10 @@
     // below the bound of 3 s after which a stopped upstream may get no more
     // requests.
     duration missing_hold_after_resync = from_ms(2200);
+    // Time for which the entry of a host is kept after the listing of a
+    // restored store that lacks it. A host counts on being in the lists of the
+    // others until its entry expires, also when it is cut off from the store.
+    duration missing_host_hold = from_ms(180'000);
 };
 
 struct list_action
@@ -119,9 +123,10 @@
     };
 
     void put(store_entry&& entry);
-    void remove(std::string const& name, time_point until);
+    void remove(std::string const& name, time_point until, time_point now);
     void restart_listing();
     bool held_when_missing(store_value const& value) const;
+    bool outdated_renewal(store_entry const& entry) const;
 
     store_mirror_settings settings_;
     std::map<std::string, mirror_entry> entries_;
--- a/tests/core/forward/store_mirror_test.cpp
+++ b/tests/core/forward/store_mirror_test.cpp
@@ -291,3 +291,26 @@
                      now);
     STRCMP_EQUAL("", names().c_str());
 }
+
+// A host that owns accounts grants for as long as the others are to keep it in
+// their lists, and may be cut off. Guards against two owners of one account.
+TEST(store_mirror, holds_a_host_entry_until_it_has_expired_in_a_new_era)
+{
+    auto const host = [](std::int64_t renewed_ms) {
+        return store_entry{.name = "h",
+                           .value = host_entry{.renewed_ms = renewed_ms}};
+    };
+    mirror.on_page(page({host(900)}, 10), now);
+    mirror.enter_era(1);
+    // The copy has the renewal before.
+    mirror.on_page(in_era(1, page({host(300)}, 9)), now);
+    mirror.for_each([&](auto const&, store_value const& it) {
+        LONGS_EQUAL(900, std::get<host_entry>(it).renewed_ms);
+    });
+    mirror.enter_era(2);
+    mirror.on_page(in_era(2, page({}, 8)), now);
+    now += from_ms(179'000);
+    STRCMP_EQUAL("h", names().c_str());
+    now += from_ms(1'100);
+    STRCMP_EQUAL("", names().c_str());
+}
