--- a/src/core/forward/store_mirror.cpp
+++ b/src/core/forward/store_mirror.cpp
@@ -11,16 +11,17 @@
 // as unavailable.
 constexpr std::uint32_t outage_failures = 2;
 
+} // namespace
+
 // Entries of draining upstreams and of other kinds of objects are removed at
-// once when they are missing.
-bool held_when_missing(store_value const& value)
+// once when they are missing. A restored store lacks entries of all kinds for a
+// moment until their writers have written them again.
+bool store_mirror::held_when_missing(store_value const& value) const
 {
     auto const* const record = std::get_if<upstream_record>(&value);
-    return record && !record->draining;
+    return record ? !record->draining : new_era_;
 }
 
-} // namespace
-
 mirror_action store_mirror::next_action() const
 {
     if (listing_) {
@@ -31,13 +32,32 @@
     return watch_action{.revision = revision_};
 }
 
+// Whether the entry of a restored store is an older one of the same host.
+bool store_mirror::outdated_renewal(store_entry const& entry) const
+{
+    auto const it = entries_.find(entry.name);
+    auto const* const next = std::get_if<host_entry>(&entry.value);
+    if (!new_era_ || !next || it == entries_.end()) {
+        return false;
+    }
+    auto const* const known = std::get_if<host_entry>(&it->second.value);
+    return known && known->renewed_ms > next->renewed_ms;
+}
+
 void store_mirror::put(store_entry&& entry)
 {
+    if (outdated_renewal(entry)) {
+        auto& it = entries_[entry.name];
+        it.generation = generation_;
+        it.held_until.reset();
+        return;
+    }
     entries_[std::move(entry.name)] = {.value = std::move(entry.value),
                                        .generation = generation_};
 }
 
-void store_mirror::remove(std::string const& name, time_point until)
+void store_mirror::remove(std::string const& name, time_point until,
+                          time_point now)
 {
     auto const it = entries_.find(name);
     if (it == entries_.end()) {
@@ -48,12 +68,36 @@
         return;
     }
     if (!it->second.held_until) {
-        it->second.held_until = until;
+        bool const host = std::holds_alternative<host_entry>(it->second.value);
+        it->second.held_until =
+            host ? now + settings_.missing_host_hold : until;
     }
 }
 
+bool store_mirror::enter_era(std::uint64_t era)
+{
+    era_ = era;
+    new_era_ = true;
+    revision_ = 0;
+    changed_revision_ = 0;
+    required_revision_ = 0;
+    outdated_ = false;
+    // Missing entries are held as after an outage.
+    outage_ = true;
+    if (listing_ && current_listing_ && after_.empty()) {
+        return false;
+    }
+    restart_listing();
+    return true;
+}
+
 void store_mirror::on_page(store_page&& page, time_point now)
 {
+    // Pages of two eras are no listing, and a watch cannot fill the gap.
+    if (page.era != era_) {
+        restart_listing();
+        return;
+    }
     oldest_revision_ = after_.empty()
                            ? page.revision
                            : std::min(oldest_revision_, page.revision);
@@ -86,7 +130,7 @@
             entries_.erase(name);
         }
         else {
-            remove(name, until);
+            remove(name, until, now);
         }
     }
     // The watch from the oldest revision repeats changes that happened between
@@ -98,18 +142,22 @@
     listing_ = false;
     listed_ = true;
     outage_ = false;
+    new_era_ = false;
     confirmed_at_ = now;
 }
 
 void store_mirror::on_events(store_events&& events, time_point now)
 {
+    if (events.era != era_) {
+        return;
+    }
     outage_ = false;
     if (events.revision < revision_) {
         return;
     }
     for (auto& it : events.events) {
         if (it.deleted) {
-            remove(it.entry.name, now + settings_.missing_hold);
+            remove(it.entry.name, now + settings_.missing_hold, now);
         }
         else {
             put(std::move(it.entry));
@@ -128,7 +176,9 @@
         outage_ = true;
     }
     listed_ = listed_ || outdated_;
-    if (error == store_error::history_gone) {
+    bool const current = error == store_error::history_gone ||
+                         (listing_ && error == store_error::older_era);
+    if (current) {
         restart_listing();
     }
     else if (listing_) {
