--- a/src/core/accounts/cap_owner.cpp
+++ b/src/core/accounts/cap_owner.cpp
@@ -8,9 +8,17 @@
 
 namespace {
 
-// Part of a share with which a deputy begins. A full one would double the share
-// when a deputy restarts.
+// Part of a share with which a role begins, but one request if that is at most
+// half of it: after the start of a fleet nobody else grants. A full share would
+// double it when a deputy restarts.
 constexpr double initial_share = 0.25;
+constexpr double max_initial_share = 0.5;
+
+double initial_tokens(double share)
+{
+    return std::max(share * initial_share,
+                    std::min(1.0, share * max_initial_share));
+}
 
 // Longest time for which a host refuses an account because other hosts were
 // refused too.
@@ -62,6 +70,7 @@
         if (state != accounts_.end()) {
             if (!role.owner) {
                 state->second.bucket.reset();
+                state->second.asked = 0;
             }
             if (state->second.bucket) {
                 state->second.bucket->set_shape(owner_shape(role.cap), now);
@@ -123,6 +132,7 @@
         }
         for (auto& [name, state] : accounts_) {
             state.bucket.reset();
+            state.asked = 0;
         }
     }
 }
@@ -174,6 +184,7 @@
                               account_state& state, time_point now)
 {
     auto const sole_from = *role.owner + settings_.hold;
+    state.asked += request.wanted;
     if (now < sole_from) {
         return from_share(request, role, state, now);
     }
@@ -187,12 +198,11 @@
         return {.granted = n};
     }
     // Shortly after the hold an empty bucket does not tell that the account has
-    // used its cap.
-    if (now < sole_from + settings_.tolerance.window) {
-        auto out = from_share(request, role, state, now);
-        if (out.outcome == cap_outcome::granted) {
-            return out;
-        }
+    // used its cap; what it has asked for since does.
+    auto const elapsed = now - *role.owner;
+    if (now < sole_from + settings_.tolerance.window &&
+        state.asked <= role.cap.burst + role.cap.rate * seconds(elapsed)) {
+        return from_share(request, role, state, now);
     }
     auto const room =
         std::max(bucket.room_at(now), now + contention(state, now));
@@ -226,7 +236,7 @@
         auto const shape = share_shape(role.cap);
         auto const share =
             shape.capacity + shape.rate * seconds(settings_.tolerance.window);
-        state.share.emplace(shape, share * initial_share, since);
+        state.share.emplace(shape, initial_tokens(share), since);
     }
     return *state.share;
 }
