Bound the tokens of fast accounts that are spent late

Cause: the owner's bucket takes 0.4 of the tolerance and the deputies another 0.4, so tokens of 250 ms of a fast account could exceed what is left.

--- a/src/app/forward/usage_caps.cpp
+++ b/src/app/forward/usage_caps.cpp
@@ -24,7 +24,9 @@
 usage_caps::usage_caps(boost::asio::io_context& io, options o)
     : options_(std::move(o)),
       owner_({.host = options_.host, .tolerance = options_.tolerance}),
-      client_({.host = options_.host, .run = std::random_device()()},
+      client_({.host = options_.host,
+               .run = std::random_device()(),
+               .tolerance = options_.tolerance},
               [this](fleet_host const& to, cap_request const& request) {
                   send(to, request);
               }),
--- a/src/core/accounts/cap_client.cpp
+++ b/src/core/accounts/cap_client.cpp
@@ -16,6 +16,12 @@
 // asked for in advance. Tokens that expire unused are lost to the account.
 constexpr double advance_ratio = 0.5;
 
+// Part of the tolerance that tokens spent late may use in a window.
+constexpr double late_part = 0.1;
+
+// Below this a grant would expire on its way.
+constexpr duration min_lifetime = from_ms(50);
+
 // Retry-After when nobody could grant. A killed host is back or replaced in
 // the list of hosts later than that, but the caller may reach another host.
 constexpr duration ungranted_retry_after = from_ms(300);
@@ -130,6 +136,20 @@
     }
 }
 
+// What is granted in a lifetime may be spent in the next window.
+duration cap_client::lifetime_of(usage_cap const& cap) const
+{
+    if (!cap.limited()) {
+        return settings_.lifetime;
+    }
+    auto const seconds =
+        late_part * tolerated_excess(settings_.tolerance, cap) / cap.rate;
+    auto const longest = std::chrono::duration<double>(settings_.lifetime);
+    return std::max(min_lifetime,
+                    std::chrono::duration_cast<duration>(std::min(
+                        longest, std::chrono::duration<double>(seconds))));
+}
+
 bool cap_client::is_avoided(fleet_host const& host, time_point now) const
 {
     auto const it = avoided_.find(host.name);
@@ -157,11 +177,11 @@
     if (state.current) {
         state.earlier.push_back(*std::exchange(state.current, std::nullopt));
     }
-    std::erase_if(state.earlier, [&](ask const& a) {
-        return now >= a.sent + settings_.lifetime;
-    });
-    auto const seconds =
-        std::chrono::duration<double>(settings_.lifetime).count();
+    std::erase_if(state.earlier,
+                  [&](ask const& a) { return now >= a.expires; });
+    auto const* const grantors = plan_.find(it.first);
+    auto const lifetime = lifetime_of(grantors ? grantors->cap : usage_cap());
+    auto const seconds = std::chrono::duration<double>(lifetime).count();
     auto const advance =
         std::floor(state.arrivals / arrival_period_s * seconds * advance_ratio);
     cap_request request{
@@ -174,6 +194,7 @@
     state.current = ask{.request = request,
                         .to = to,
                         .sent = now,
+                        .expires = now + lifetime,
                         .due = now + settings_.repeat};
     wake_at_ = std::min(wake_at_, now + settings_.repeat);
     ++requests_sent_;
@@ -222,9 +243,9 @@
     }
     avoided_.erase(asked->to.name);
     if (grant.outcome == cap_outcome::granted) {
-        auto const expires = asked->sent + settings_.lifetime;
-        if (now < expires) {
-            state.lots.push_back({.tokens = grant.granted, .expires = expires});
+        if (now < asked->expires) {
+            state.lots.push_back(
+                {.tokens = grant.granted, .expires = asked->expires});
         }
         admit_waiting(it, now);
     }
--- a/src/core/accounts/cap_client.hpp
+++ b/src/core/accounts/cap_client.hpp
@@ -2,6 +2,7 @@
 
 #include "core/accounts/cap_messages.hpp"
 #include "core/accounts/cap_plan.hpp"
+#include "core/accounts/usage_tolerance.hpp"
 #include "core/base/name_table.hpp"
 #include "core/base/time.hpp"
 
@@ -60,8 +61,9 @@
     std::string host; // this one
     // Differs between two runs of a process.
     std::uint32_t run = 1;
-    // Tokens expire this long after they were asked for.
+    // Tokens expire at most this long after they were asked for.
     duration lifetime = from_ms(250);
+    usage_tolerance tolerance;
     // A request without a response is sent again after this time, once.
     duration repeat = from_ms(30);
     // For this long a host that did not respond is asked last.
@@ -115,7 +117,8 @@
         cap_request request;
         fleet_host to;
         time_point sent{};
-        time_point due{}; // to repeat or give up
+        time_point expires{}; // what it grants
+        time_point due{};     // to repeat or give up
         bool repeated = false;
     };
 
@@ -166,6 +169,7 @@
     void refuse_waiting(entry& it, cap_decision const& decision);
     std::deque<waiter> take_waiting(account_state& state);
     std::vector<entry*> waiting_accounts();
+    duration lifetime_of(usage_cap const& cap) const;
     void find_wake_time();
     void on_overdue(entry& it, time_point now);
     void time_out_waiting(entry& it, time_point now);
--- a/src/core/accounts/cap_owner.cpp
+++ b/src/core/accounts/cap_owner.cpp
@@ -30,7 +30,8 @@
 constexpr std::size_t max_responses = 1024;
 
 // Parts of the tolerance that the owner and all deputies together may use. The
-// rest is for tokens that are spent a lifetime after they were granted.
+// rest is for tokens that are spent a lifetime after they were granted, and for
+// changes of the hosts that have these roles.
 constexpr double owner_part = 0.4;
 constexpr double deputy_part = 0.4;
 
@@ -92,28 +93,23 @@
     });
 }
 
-// Requests of an account in a window beyond its cap.
-double cap_owner::tolerance_of(usage_cap const& cap) const
-{
-    auto const& t = settings_.tolerance;
-    return t.overage * (cap.rate * seconds(t.window) + cap.burst) + t.slack;
-}
-
 // Load pattern: requests of an account that is inside its cap over a window,
 // but not evenly spread. The tolerance takes up their bursts.
 bucket_shape cap_owner::owner_shape(usage_cap const& cap) const
 {
     return {.rate = cap.rate,
-            .capacity =
-                std::max(1.0, cap.burst + owner_part * tolerance_of(cap))};
+            .capacity = std::max(
+                1.0, cap.burst + owner_part * tolerated_excess(
+                                                  settings_.tolerance, cap))};
 }
 
 // Each deputy's bucket grants at most its share in a window.
 bucket_shape cap_owner::share_shape(usage_cap const& cap) const
 {
     auto const window = seconds(settings_.tolerance.window);
-    auto const share =
-        deputy_part * tolerance_of(cap) / static_cast<double>(data_centres_);
+    auto const share = deputy_part *
+                       tolerated_excess(settings_.tolerance, cap) /
+                       static_cast<double>(data_centres_);
     auto const capacity = std::min(share, std::max(1.0, share / 2));
     return {.rate = (share - capacity) / window, .capacity = capacity};
 }
--- a/src/core/accounts/cap_owner.hpp
+++ b/src/core/accounts/cap_owner.hpp
@@ -81,7 +81,6 @@
     static duration contention(account_state const& state, time_point now);
     usage_bucket& share_of(roles const& role, account_state& state,
                            time_point now);
-    double tolerance_of(usage_cap const& cap) const;
     bucket_shape owner_shape(usage_cap const& cap) const;
     bucket_shape share_shape(usage_cap const& cap) const;
     void renew_listing(time_point now);
--- a/src/core/accounts/usage_tolerance.hpp
+++ b/src/core/accounts/usage_tolerance.hpp
@@ -1,7 +1,10 @@
 #pragma once
 
+#include "core/accounts/client_account.hpp"
 #include "core/base/time.hpp"
 
+#include <chrono>
+
 namespace snipemill {
 
 // By how much the requests of an account may exceed its usage cap. In any
@@ -16,4 +19,11 @@
                            usage_tolerance const&) = default;
 };
 
+// Requests of an account in a window beyond its cap.
+inline double tolerated_excess(usage_tolerance const& it, usage_cap const& cap)
+{
+    auto const window = std::chrono::duration<double>(it.window).count();
+    return it.overage * (cap.rate * window + cap.burst) + it.slack;
+}
+
 } // namespace snipemill
--- a/tests/core/accounts/cap_faults_test.cpp
+++ b/tests/core/accounts/cap_faults_test.cpp
@@ -248,7 +248,7 @@
 {
     std::vector<cap_request> sent;
     cap_client client(
-        {.host = "h0"},
+        {.host = "h0", .tolerance = {.slack = 20}},
         [&](fleet_host const&, cap_request const& it) { sent.push_back(it); });
     client.set_plan(cap_plan({{.name = "h1",
                                .data_centre = "d0",
@@ -280,3 +280,31 @@
     LONGS_EQUAL(2, admitted);
     UNSIGNED_LONGS_EQUAL(3, sent.size());
 }
+
+// Load: an account of 200 requests/s without slack. Guards against a lifetime
+// in which more is granted than the tolerance of a window has left for it.
+TEST(cap_faults, tokens_of_a_fast_account_expire_earlier)
+{
+    std::uint64_t number = 0;
+    cap_client client(
+        {.host = "h0"},
+        [&](fleet_host const&, cap_request const& it) { number = it.number; });
+    client.set_plan(cap_plan({{.name = "h1",
+                               .data_centre = "d0",
+                               .ip = "192.0.2.1",
+                               .relay_port = 7}},
+                             "d0", {{.name = "acme", .cap = {.rate = 200}}}));
+    auto const t = time_point(from_ms(1000));
+    int admitted = 0;
+    auto const count = [&](cap_decision const& it) {
+        admitted += it.admitted();
+    };
+    client.admit("acme", t + from_ms(5000), t, count);
+    client.on_grant(
+        {.account = "acme", .host = "h1", .number = number, .granted = 9},
+        t + from_ms(5));
+    client.admit("acme", t + from_ms(5000), t + from_ms(49), count);
+    LONGS_EQUAL(2, admitted);
+    client.admit("acme", t + from_ms(5000), t + from_ms(50), count);
+    LONGS_EQUAL(2, admitted);
+}
--- a/tests/core/accounts/cap_fleet.hpp
+++ b/tests/core/accounts/cap_fleet.hpp
@@ -212,6 +212,7 @@
         owner.tolerance = o_.tolerance;
         auto client = o_.client;
         client.host = it.entry.name;
+        client.tolerance = o_.tolerance;
         client.run = ++runs_;
         it.process->owner = std::make_unique<cap_owner>(owner);
         it.process->client = std::make_unique<cap_client>(
--- a/tests/core/accounts/cap_parts_test.cpp
+++ b/tests/core/accounts/cap_parts_test.cpp
@@ -18,6 +18,7 @@
 std::vector<fleet_host> fleet(int data_centres, int each)
 {
     std::vector<fleet_host> out;
+    out.reserve(static_cast<std::size_t>(data_centres) * each);
     for (int i = 0; i < data_centres * each; ++i) {
         out.push_back({.name = "h" + std::to_string(i),
                        .data_centre = "d" + std::to_string(i % data_centres),
@@ -30,6 +31,7 @@
 std::vector<client_account> accounts(int n, usage_cap cap)
 {
     std::vector<client_account> out;
+    out.reserve(static_cast<std::size_t>(n));
     for (int i = 0; i < n; ++i) {
         out.push_back({.name = "a" + std::to_string(i), .cap = cap});
     }
@@ -213,7 +215,7 @@
     };
     std::vector<sent_request> sent;
     std::vector<cap_decision> decided;
-    cap_client client{{.host = "asking"},
+    cap_client client{{.host = "asking", .tolerance = {.slack = 20}},
                       [this](fleet_host const& to, cap_request const& it) {
                           sent.push_back({to.name, it});
                       }};
