--- a/soak/fault_injector.cpp
+++ b/soak/fault_injector.cpp
@@ -32,6 +32,9 @@
 // Expiry of the store entry of a crashed upstream.
 constexpr double entry_expiry_s = 3.6;
 
+// Time within which what a restored store has lost is written again.
+constexpr double max_rewrite_s = 2;
+
 // Time that a draining upstream still serves.
 constexpr double drain_time_s = 4.5;
 
@@ -155,6 +158,9 @@
         store.compact();
         fleet_.record_store_fault();
         break;
+    case fault_kind::store_restore:
+        restore_store();
+        break;
     case fault_kind::manifest_change:
         change_manifest();
         break;
@@ -322,6 +328,24 @@
     });
 }
 
+// The operator and the upstreams write again what is lost. Entries of upstreams
+// that have stopped since the copy lapse again.
+void fault_injector::restore_store()
+{
+    auto const age = std::chrono::duration_cast<std::chrono::milliseconds>(
+        seconds(uniform(min_duration_s, max_duration_s)));
+    fleet_.store().restore(std::chrono::steady_clock::now() - age);
+    fleet_.record_store_fault();
+    run_after(seconds(uniform(0, max_rewrite_s)), [this] {
+        fleet_.write_again();
+        fleet_.record_store_fault();
+    });
+    run_after(seconds(entry_expiry_s), [this] {
+        fleet_.remove_stopped_entries();
+        fleet_.record_store_fault();
+    });
+}
+
 void fault_injector::change_manifest()
 {
     auto next = fleet_.manifest();
--- a/soak/fault_injector.hpp
+++ b/soak/fault_injector.hpp
@@ -24,6 +24,7 @@
     store_down,
     store_lost,
     store_compact,
+    store_restore,
     upstream_link,
     upstream_crash,
     upstream_drain,
@@ -34,7 +35,7 @@
     odd_entries
 };
 
-inline constexpr snipemill::name_table<fault_kind, 16> fault_kind_names{{
+inline constexpr snipemill::name_table<fault_kind, 17> fault_kind_names{{
     {fault_kind::host_kill, "host_kill"},
     {fault_kind::host_pause, "host_pause"},
     {fault_kind::host_term, "host_term"},
@@ -43,6 +44,7 @@
     {fault_kind::store_down, "store_down"},
     {fault_kind::store_lost, "store_lost"},
     {fault_kind::store_compact, "store_compact"},
+    {fault_kind::store_restore, "store_restore"},
     {fault_kind::upstream_link, "upstream_link"},
     {fault_kind::upstream_crash, "upstream_crash"},
     {fault_kind::upstream_drain, "upstream_drain"},
@@ -84,6 +86,7 @@
     void set_upstream_link_fault(upstream_entry& it);
     void crash_upstream(upstream_entry& it);
     void drain_upstream(upstream_entry& it);
+    void restore_store();
     void change_manifest();
     void reshard();
     void write_invalid_entries();
--- a/soak/fleet/test_fleet.cpp
+++ b/soak/fleet/test_fleet.cpp
@@ -151,6 +151,7 @@
         runs_, options_.seed * 1000 + n);
     it->proxy =
         std::make_unique<standin::fault_proxy>(io_, local(it->server->port()));
+    it->instance = instance;
     it->data_centre = number % 2 == 0 ? "a" : "b";
     register_upstream(*it);
     upstreams_.push_back(std::move(it));
@@ -195,6 +196,26 @@
     }
 }
 
+void test_fleet::write_again()
+{
+    store_.put(names::manifests, names::newest_manifest,
+               standin::manifest_document(manifest()));
+    for (auto const& it : upstreams_) {
+        if (!it->stopped) {
+            register_upstream(*it);
+        }
+    }
+}
+
+void test_fleet::remove_stopped_entries()
+{
+    for (auto const& it : upstreams_) {
+        if (it->stopped) {
+            store_.remove(names::upstreams, it->instance);
+        }
+    }
+}
+
 void test_fleet::record_store_fault()
 {
     last_store_fault_ = std::chrono::steady_clock::now();
--- a/soak/fleet/test_fleet.hpp
+++ b/soak/fleet/test_fleet.hpp
@@ -61,6 +61,7 @@
 {
     std::unique_ptr<standin::upstream> server;
     std::unique_ptr<standin::fault_proxy> proxy;
+    std::string instance;
     std::string data_centre;
     bool draining = false;
     steady_time draining_since{}; // time at which the state was stored
@@ -86,6 +87,11 @@
     // removes it.
     void stop_upstream(upstream_entry& it);
     void remove_entry(upstream_entry const& it);
+    // Writes the newest manifest and the entries of the upstreams that run,
+    // after the store has lost writes.
+    void write_again();
+    // Removes the entries of upstreams that have stopped.
+    void remove_stopped_entries();
 
     // Sets what ends an upstream that has run a crashing request.
     void on_crash(std::function<void(upstream_entry&, std::string const&)> f)
