Read the configuration again when the store's revision has gone back

Cause: a reader kept the highest revision, so that its watches of a restored store showed nothing until the store had passed it. Change: a watch that ends with a lower revision makes the reader read again. Evidence: platform_reader.reads_again_when_the_revision_has_gone_back failed before; test_core_config passes.

--- a/src/core/config/platform_reader.cpp
+++ b/src/core/config/platform_reader.cpp
@@ -58,8 +58,10 @@
     }
     failed_ = false;
     delay_ = duration::zero();
-    stale_ = stale_ || changed;
-    revision_ = std::max(revision_, revision);
+    // A lower revision is that of a store restored from an older copy: a watch
+    // from the old one would show nothing until the store has passed it.
+    stale_ = stale_ || changed || revision < revision_;
+    revision_ = revision;
 }
 
 void platform_reader::on_failed(time_point now)
