Fail exchanges whose response has an invalid status

Cause: client_connection took every status below 200 for an interim response and waited for a final one until the deadline; a status above 599 was passed on as a response, and 101 was skipped although no request asks for another protocol. Change: status_kind tells interim (100, 102 to 199), final (200 to 599) and invalid statuses; an invalid one fails its exchange as malformed when the header is complete and closes the connection. The store's client and serve's upstream pool use client_connection, so the change covers them.

--- a/src/adapters/codec/relay_codec.cpp
+++ b/src/adapters/codec/relay_codec.cpp
@@ -1,6 +1,7 @@
 #include "adapters/codec/relay_codec.hpp"
 
 #include "adapters/codec/peer_codec_detail.hpp"
+#include "adapters/http/status_kind.hpp"
 #include "core/base/overloaded.hpp"
 
 #include <algorithm>
@@ -13,10 +14,6 @@
 
 namespace {
 
-// Lowest and highest status of a final HTTP answer.
-constexpr std::uint32_t min_status = 200;
-constexpr std::uint32_t max_status = 599;
-
 void write_summary(wire::RelaySummary& out, run_summary const& from)
 {
     out.set_parts(from.services);
@@ -66,7 +63,7 @@
 {
     out.status = from.status();
     out.reason.detail = from.detail();
-    return out.status >= min_status && out.status <= max_status &&
+    return kind_of_status(out.status) == status_kind::final_response &&
            read_enum(errc_names, from.code(), out.reason.code) &&
            read_enum(run_state_names, from.run(), out.reason.run) &&
            read_duration(from.retry_after_us(), out.retry_after);
--- a/src/adapters/forward/upstream_links.cpp
+++ b/src/adapters/forward/upstream_links.cpp
@@ -297,6 +297,7 @@
                                exchange_result result)
 {
     counters_.late_answers += connection->take_late_answers();
+    counters_.invalid_statuses += connection->take_invalid_statuses();
     reuse_or_reconnect(it, connection, result);
     if (auto* const answer = std::get_if<http_response>(&result)) {
         complete_exchange(id, read_upstream_answer(std::move(*answer), names_));
--- a/src/adapters/forward/upstream_links.hpp
+++ b/src/adapters/forward/upstream_links.hpp
@@ -57,6 +57,8 @@
     std::uint64_t late_answers = 0;
     // Retries that needed another connection than the idle ones.
     std::uint64_t retry_connects = 0;
+    // Responses whose status is neither interim nor final.
+    std::uint64_t invalid_statuses = 0;
 };
 
 // HTTP connections to upstreams. Preconnects to each upstream that may be used,
--- a/src/adapters/http/client_connection.cpp
+++ b/src/adapters/http/client_connection.cpp
@@ -1,5 +1,8 @@
 #include "adapters/http/client_connection.hpp"
 
+#include "adapters/http/status_kind.hpp"
+#include "adapters/logging/logger.hpp"
+
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -26,6 +29,27 @@
 // Interim answers and late answers to earlier requests before the answer.
 constexpr std::uint32_t max_skipped_answers = 16;
 
+// A faulty server responds to every request. Each thread logs an invalid status
+// at most once in this time; all of them are counted.
+constexpr auto status_log_interval = std::chrono::seconds(1);
+
+void log_invalid_status(tcp::socket const& socket, unsigned status)
+{
+    thread_local std::chrono::steady_clock::time_point next{};
+    auto const now = std::chrono::steady_clock::now();
+    if (now < next) {
+        return;
+    }
+    next = now + status_log_interval;
+    boost::system::error_code ec;
+    auto const server = socket.remote_endpoint(ec);
+    log_error("invalid_status",
+              {{"address", ec ? std::string("unknown")
+                              : server.address().to_string() + ":" +
+                                    std::to_string(server.port())},
+               {"status", std::to_string(status)}});
+}
+
 // Header values can come from another host. Control characters would end the
 // header line, so they are left out.
 void append_value(std::string& out, std::string_view value)
@@ -291,6 +315,11 @@
         }
         auto const n = parser_->put(buffer_.data(), ec);
         buffer_.consume(n);
+        if (has_invalid_status()) {
+            ++invalid_statuses_;
+            log_invalid_status(socket_, parser_->get().result_int());
+            return false;
+        }
         if (ec == http::error::need_more) {
             ec = {};
             return true;
@@ -305,6 +334,12 @@
     return true;
 }
 
+bool client_connection::has_invalid_status() const
+{
+    return parser_->is_header_done() &&
+           kind_of_status(parser_->get().result_int()) == status_kind::invalid;
+}
+
 bool client_connection::is_foreign() const
 {
     if (echo_header_.empty()) {
@@ -321,11 +356,12 @@
            parser_->get().find(echo_header_) != parser_->get().end();
 }
 
-// An interim answer (1xx) is followed by the final one, and a late answer to
+// An interim answer is followed by the final one, and a late answer to
 // an earlier request by the one to this request.
 bool client_connection::skip_foreign()
 {
-    if (parser_->get().result_int() >= 200 && !is_foreign()) {
+    auto const kind = kind_of_status(parser_->get().result_int());
+    if (kind == status_kind::final_response && !is_foreign()) {
         return false;
     }
     ++skipped_;
--- a/src/adapters/http/client_connection.hpp
+++ b/src/adapters/http/client_connection.hpp
@@ -30,7 +30,7 @@
 {
     closed,    // before any byte of an answer
     truncated, // inside the answer
-    malformed  // the answer is not HTTP, or larger than allowed
+    malformed  // not HTTP, an invalid status, or larger than allowed
 };
 
 struct exchange_failed
@@ -98,6 +98,11 @@
     {
         return std::exchange(late_answers_, 0);
     }
+    // The same for responses with an invalid status; each failed its exchange.
+    std::uint64_t take_invalid_statuses()
+    {
+        return std::exchange(invalid_statuses_, 0);
+    }
     // time_point::max() until it is connected.
     std::chrono::steady_clock::time_point connected_at() const
     {
@@ -125,6 +130,7 @@
     void on_input(std::size_t n);
     bool feed(boost::system::error_code& ec);
     bool skip_foreign();
+    bool has_invalid_status() const;
     bool is_foreign() const;
     bool is_identified() const;
     void set_silence_limit();
@@ -148,6 +154,7 @@
     std::string echo_value_;
     recent_ids carried_;
     std::uint64_t late_answers_ = 0;
+    std::uint64_t invalid_statuses_ = 0;
     duration silence_limit_{};
     std::function<void(bool)> on_connect_;
     std::function<void(exchange_result)> on_result_;
--- a/tests/adapters/forward/upstream_links_test.cpp
+++ b/tests/adapters/forward/upstream_links_test.cpp
@@ -431,3 +431,42 @@
     CHECK(std::holds_alternative<exchange_lost>(outcomes[0]));
     CHECK_COMPARE(links->answer_bytes(), <=, 50U * 1024 * 1024);
 }
+
+// A faulty upstream responds with a status that HTTP does not have, or switches
+// to a protocol that no request asks for. Guards against waiting for a final
+// response until the deadline, and against passing the status on.
+TEST(upstream_links, an_invalid_status_ends_its_exchange)
+{
+    start();
+    std::size_t n = 0;
+    for (std::string const status :
+         {"000", "001", "099", "101", "600", "999"}) {
+        send("1");
+        CHECK(wait_request("1", n));
+        // The body is not complete: the status alone has to end the exchange.
+        server.peers[n]->send("HTTP/1.1 " + status +
+                              " Odd\r\nx-id: 1\r\nx-proof: p\r\n"
+                              "Content-Length: 3\r\n\r\na");
+        ++n;
+        CHECK_TEXT(wait_outcomes(n), status.c_str());
+        auto const* const lost = std::get_if<exchange_lost>(&outcomes.back());
+        CHECK_TEXT(lost && !lost->closed_by_host, status.c_str());
+        CHECK(run_until(io, [&] { return server.peers[n - 1]->closed; }));
+        UNSIGNED_LONGS_EQUAL(n, links->counters().invalid_statuses);
+    }
+}
+
+// Guards against taking a valid interim response for a fault.
+TEST(upstream_links, interim_responses_are_skipped)
+{
+    start();
+    send("1");
+    CHECK(wait_request("1"));
+    for (std::string const status : {"100", "102", "103", "199"}) {
+        server.peers[0]->send("HTTP/1.1 " + status + " Interim\r\n\r\n");
+    }
+    answer("1", "one");
+    CHECK(wait_outcomes(1));
+    STRCMP_EQUAL("one", body(0).c_str());
+    UNSIGNED_LONGS_EQUAL(0, links->counters().invalid_statuses);
+}
--- a/tests/adapters/http/http_client_test.cpp
+++ b/tests/adapters/http/http_client_test.cpp
@@ -284,3 +284,23 @@
         CHECK(failed(i).sent);
     }
 }
+
+// The store is called through this client too. Guards against a call that waits
+// until its time is over when the server responds with an invalid status.
+TEST(http_client, an_invalid_status_fails_at_once)
+{
+    start();
+    std::size_t n = 0;
+    for (std::string const status :
+         {"000", "001", "099", "101", "600", "999"}) {
+        send("/a");
+        CHECK(wait_requests(n, 1));
+        server.peers[n]->send("HTTP/1.1 " + status +
+                              " Odd\r\nContent-Length: 3\r\n\r\na");
+        ++n;
+        CHECK_TEXT(wait_results(n), status.c_str());
+        CHECK(failed(n - 1).sent);
+        CHECK(failed(n - 1).reason == errc::upstream_failed);
+        CHECK(run_until(io, [&] { return server.peers[n - 1]->closed; }));
+    }
+}
--- a/tests/adapters/upstream/upstream_pool_test.cpp
+++ b/tests/adapters/upstream/upstream_pool_test.cpp
@@ -276,3 +276,32 @@
     settle();
     LONGS_EQUAL(3, results.size());
 }
+
+// Guards against a sub-request that waits until its deadline when its upstream
+// responds with an invalid status, as if a final response followed.
+TEST(upstream_pool, an_invalid_status_is_malformed_at_once)
+{
+    start(1, 8);
+    std::size_t n = 0;
+    for (std::string const status :
+         {"000", "001", "099", "101", "600", "999"}) {
+        query();
+        std::shared_ptr<raw_peer> peer;
+        CHECK(run_until(io, [&] {
+            for (auto const& it : server.peers) {
+                if (!it->closed && it->has("POST /search")) {
+                    peer = it;
+                }
+            }
+            return peer != nullptr;
+        }));
+        peer->send(identified(answer(status + " Odd", "abc"), *peer));
+        ++n;
+        CHECK_TEXT(run_until(io, [&] { return results.size() == n; }),
+                   status.c_str());
+        auto const* const it = std::get_if<sub_failure>(&results.back());
+        CHECK_TEXT(it && it->outcome == sub_outcome::malformed, status.c_str());
+        CHECK(run_until(io, [&] { return peer->closed; }));
+        UNSIGNED_LONGS_EQUAL(n, pool->counters().malformed);
+    }
+}
