--- a/soak/fleet/test_fleet.cpp
+++ b/soak/fleet/test_fleet.cpp
@@ -98,9 +98,13 @@
 void test_fleet::write_settings(host const& it, std::uint16_t metrics,
                                 std::uint16_t relay, double cores) const
 {
+    auto const memory =
+        options_.memory_mb > 0
+            ? ", memory_mb: " + std::to_string(options_.memory_mb)
+            : std::string();
     std::ofstream(it.settings)
         << "host: {name: " << it.name << ", data_centre: " << it.data_centre
-        << ", cores: " << cores << "}\nlisten:\n  callers: \""
+        << ", cores: " << cores << memory << "}\nlisten:\n  callers: \""
         << address(it.caller_port) << "\"\n  readiness: \""
         << address(it.readiness_port) << "\"\n  metrics: \"" << address(metrics)
         << "\"\n  relay: \"" << address(relay) << "\"\nstore: {address: \""
--- a/soak/fleet/test_fleet.hpp
+++ b/soak/fleet/test_fleet.hpp
@@ -34,6 +34,7 @@
     std::size_t hosts = 14; // above 12, hosts use relays for fan-out queries
     std::size_t shards = 6;
     std::size_t replicas = 2;
+    std::size_t memory_mb = 0; // of each host; 0: not stated
 };
 
 // One host: a process of the program under test.
--- a/tests/process/forward_fixture.hpp
+++ b/tests/process/forward_fixture.hpp
@@ -39,7 +39,8 @@
         fleet.emplace(io, soak::fleet_options{.program = SNIPEMILL_PROGRAM,
                                               .folder = folder_,
                                               .hosts = hosts,
-                                              .replicas = 5});
+                                              .replicas = 5,
+                                              .memory_mb = memory_mb});
         auto state = fleet->manifest();
         state.version += 1;
         state.timeout_ms = route_timeout_ms;
@@ -79,6 +80,7 @@
 
     boost::asio::io_context io;
     std::optional<soak::test_fleet> fleet;
+    std::size_t memory_mb = 0; // of each host; 0: not stated
 
 private:
     std::filesystem::path folder_;
--- a/tests/support/raw_peer.hpp
+++ b/tests/support/raw_peer.hpp
@@ -2,8 +2,10 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <cstdint>
@@ -52,8 +54,11 @@
 
     void read()
     {
+        if (!reads_) {
+            return;
+        }
         socket_.async_read_some(
-            boost::asio::buffer(buf_),
+            boost::asio::buffer(buf_.data(), read_size_),
             [self = shared_from_this()](boost::system::error_code ec,
                                         std::size_t n) {
                 if (ec) {
@@ -62,9 +67,17 @@
                     return;
                 }
                 self->in.append(self->buf_.data(), n);
-                self->read();
+                self->read_later();
             });
     }
+    // Reads no more; the read that is pending ends it.
+    void stop_reading() { reads_ = false; }
+    // Reads at most n bytes at a time with a pause after each read.
+    void read_slowly(std::size_t n, std::chrono::milliseconds pause)
+    {
+        read_size_ = std::min(n, buf_.size());
+        pause_ = pause;
+    }
 
     void send(std::string text)
     {
@@ -100,6 +113,20 @@
     boost::system::error_code error;
 
 private:
+    void read_later()
+    {
+        if (pause_.count() == 0) {
+            read();
+            return;
+        }
+        timer_.expires_after(pause_);
+        timer_.async_wait(
+            [self = shared_from_this()](boost::system::error_code ec) {
+                if (!ec) {
+                    self->read();
+                }
+            });
+    }
     void write()
     {
         boost::asio::async_write(
@@ -114,7 +141,11 @@
     }
 
     socket_type socket_;
+    boost::asio::steady_timer timer_{socket_.get_executor()}; // of the pause
+    std::chrono::milliseconds pause_{};
+    bool reads_ = true;
     std::array<char, 16384> buf_{};
+    std::size_t read_size_ = buf_.size();
     std::deque<std::string> out_;
 };
 
