Count what callers make a server hold, and end the heaviest

Cause: the bytes of arriving requests were counted instead of the memory of their parsed fields, growing strings and buffers; requests in work, responses being written and input read ahead were not counted; the receiver that held most was ended, however young. A request that has not run gets 503, one that may have run is reset and cancelled. Pipelined requests are handled four at a time over all connections, and 8 KB instead of 64 KB are read ahead.

--- a/src/adapters/http/http_server.hpp
+++ b/src/adapters/http/http_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "adapters/net/receive_budget.hpp"
 #include "core/base/time.hpp"
 
 #include <boost/asio/io_context.hpp>
@@ -30,6 +31,15 @@
     // Of all requests that are being received. The largest of them is refused
     // when they need more.
     std::size_t max_received = 32 * 1024 * 1024; // bytes
+    // Budget for what connections hold; null: one of max_received.
+    std::shared_ptr<receive_budget> memory;
+    // Input read ahead while a handler works. Above it the caller's disconnect
+    // is only noticed when the response is written.
+    std::size_t max_read_ahead = 8 * 1024; // bytes
+    // Requests handled at one time that arrived before the response to the
+    // request before them was sent. A host's share of a service may be as small
+    // as 7 requests at a time; further ones wait.
+    std::size_t max_pipelined = 4;
     std::size_t max_connections = 10'000;
     bool reuse_port = false; // several lanes listen on one port
 };
--- a/src/adapters/http/server_connection.cpp
+++ b/src/adapters/http/server_connection.cpp
@@ -1,7 +1,5 @@
 #include "adapters/http/server_connection.hpp"
 
-#include "adapters/http/error_body.hpp"
-
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/http/error.hpp>
@@ -9,7 +7,9 @@
 
 #include <algorithm>
 #include <cctype>
+#include <iterator>
 #include <string>
+#include <tuple>
 #include <utility>
 
 namespace snipemill {
@@ -20,10 +20,6 @@
 
 namespace {
 
-// Input read ahead while a handler works. Above it the caller's disconnect is
-// only noticed when the response is written.
-constexpr std::size_t max_read_ahead = 64 * 1024;
-
 // After an error response, input is discarded up to these limits. Closing with
 // unread input would reset the connection and the caller could lose the
 // response.
@@ -34,6 +30,9 @@
 // closed after this time without a byte.
 constexpr duration drain_idle_time = from_ms(1000);
 
+// Buffer that an idle connection keeps for its next request.
+constexpr std::size_t max_idle_buffer = 4 * 1024;
+
 constexpr std::string_view continue_line = "HTTP/1.1 100 Continue\r\n\r\n";
 
 // Closes the connection when a handler drops its responder unused.
@@ -84,7 +83,7 @@
 server_connection::server_connection(std::shared_ptr<server_core> core,
                                      tcp::socket socket)
     : core_(std::move(core)), socket_(std::move(socket)), timer_(core_->io()),
-      received_(core_->budget(), [this] { reject_for_memory(); })
+      received_(core_->budget(), [this] { shed(); })
 {
     boost::system::error_code ignored;
     socket_.set_option(tcp::no_delay(true), ignored);
@@ -109,7 +108,10 @@
 void server_connection::begin_request()
 {
     ++request_;
-    parser_.emplace();
+    field_bytes_ = 0;
+    parser_.reset();
+    parser_.emplace(std::piecewise_construct, std::make_tuple(),
+                    std::make_tuple(counting_allocator<char>(&field_bytes_)));
     parser_->eager(true);
     parser_->header_limit(
         static_cast<std::uint32_t>(core_->options().max_header));
@@ -145,10 +147,6 @@
     switch (state_) {
     case state::idle:
     case state::receiving:
-        if (!received_.add(n)) {
-            reject_for_memory();
-            return;
-        }
         parse();
         return;
     case state::lingering:
@@ -161,7 +159,11 @@
         read();
         return;
     default:
-        if (buffer_.size() < max_read_ahead) {
+        if (!received_.hold(held())) {
+            shed();
+            return;
+        }
+        if (buffer_.size() < core_->options().max_read_ahead) {
             read();
         }
     }
@@ -195,12 +197,19 @@
         arm(core_->options().header_timeout);
     }
     boost::system::error_code ec;
-    if (!feed(ec)) {
+    bool const good = feed(ec);
+    if (!received_.hold(held())) {
+        reject_for_memory();
+        return;
+    }
+    if (!good) {
         reject(ec);
         return;
     }
     if (parser_->is_done()) {
-        dispatch();
+        if (!wait_for_turn()) {
+            dispatch();
+        }
         return;
     }
     if (has_endless_line()) {
@@ -252,12 +261,8 @@
         [self = shared_from_this()](boost::system::error_code, std::size_t) {});
 }
 
-void server_connection::dispatch()
+http_request server_connection::take_request()
 {
-    timer_.cancel();
-    ++timer_generation_;
-    received_.release();
-    state_ = state::handling;
     auto message = parser_->release();
     keep_alive_ = message.keep_alive();
     head_ = message.method() == http::verb::head;
@@ -265,11 +270,27 @@
                          .target = std::string(message.target()),
                          .body = std::move(message.body()),
                          .first_byte = first_byte_};
+    request.headers.reserve(static_cast<std::size_t>(
+        std::distance(message.begin(), message.end())));
     for (auto const& field : message) {
         request.headers.emplace_back(lower(field.name_string()),
                                      std::string(field.value()));
     }
-    if (buffer_.size() < max_read_ahead) {
+    return request;
+}
+
+void server_connection::dispatch()
+{
+    timer_.cancel();
+    ++timer_generation_;
+    auto request = take_request();
+    message_bytes_ = memory_of(request);
+    state_ = state::handling;
+    if (!received_.hold(held())) {
+        reject_for_memory();
+        return;
+    }
+    if (buffer_.size() < core_->options().max_read_ahead) {
         read();
     }
     auto const number = request_;
@@ -297,6 +318,7 @@
     }
     keep_alive_ = keep_alive_ && !core_->reuse_refused();
     message.keep_alive(keep_alive_);
+    message_bytes_ = memory_of(answer);
     message.body() = std::move(answer.body);
     message.prepare_payload();
     if (head_) {
@@ -304,6 +326,9 @@
     }
     on_gone_ = nullptr;
     write(std::move(message));
+    if (state_ == state::writing && !received_.hold(held())) {
+        abort();
+    }
 }
 
 void server_connection::abandon(std::uint64_t request)
@@ -313,54 +338,10 @@
     }
 }
 
-void server_connection::reject(boost::system::error_code ec)
-{
-    ++core_->bad_requests;
-    if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
-        reject(431, {.code = errc::header_too_large,
-                     .run = run_state::not_run,
-                     .detail = "the request header is too large"});
-        return;
-    }
-    if (ec == http::error::body_limit) {
-        reject(413, {.code = errc::body_too_large,
-                     .run = run_state::not_run,
-                     .detail = "the request body is too large"});
-        return;
-    }
-    reject(400, {.code = errc::malformed_request,
-                 .run = run_state::not_run,
-                 .detail = ec.message()});
-}
-
-void server_connection::reject(unsigned status, failure const& f)
-{
-    response message{http::int_to_status(status), 11};
-    message.set(http::field::content_type, "application/json");
-    keep_alive_ = false;
-    message.keep_alive(false);
-    if (status == 503) {
-        message.set(http::field::retry_after, "1");
-    }
-    message.body() = write_error_body(f);
-    message.prepare_payload();
-    write(std::move(message));
-}
-
-// Also called while another connection receives.
-void server_connection::reject_for_memory()
-{
-    ++core_->bad_requests;
-    parser_.reset();
-    buffer_.consume(buffer_.size());
-    reject(503, {.code = errc::overloaded,
-                 .run = run_state::not_run,
-                 .detail = "too much memory is used by requests that arrive"});
-}
-
 void server_connection::write(response message)
 {
     received_.release();
+    end_turn();
     state_ = state::writing;
     response_ = std::make_shared<response>(std::move(message));
     arm(core_->options().idle_timeout);
@@ -391,6 +372,11 @@
         return;
     }
     begin_request();
+    pipelined_ = buffer_.size() > 0;
+    received_.release();
+    if (!pipelined_ && buffer_.capacity() > max_idle_buffer) {
+        buffer_.shrink_to_fit();
+    }
     arm(core_->draining() ? drain_idle_time : core_->options().idle_timeout);
     parse();
 }
@@ -404,7 +390,9 @@
         close();
         return;
     }
-    buffer_.consume(buffer_.size());
+    parser_.reset();
+    buffer_.clear();
+    buffer_.shrink_to_fit();
     arm(linger_time);
     read();
 }
@@ -430,6 +418,12 @@
                      .detail = "the request did not arrive in time"});
         return;
     }
+    if (state_ == state::queued) {
+        reject(503, {.code = errc::overloaded,
+                     .run = run_state::not_run,
+                     .detail = "too many requests do not wait for responses"});
+        return;
+    }
     if (state_ == state::writing) {
         abort();
         return;
@@ -463,6 +457,7 @@
     if (state_ == state::closed) {
         return;
     }
+    end_turn();
     state_ = state::closed;
     on_gone_ = nullptr;
     request_done();
--- a/src/adapters/http/server_connection.hpp
+++ b/src/adapters/http/server_connection.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "adapters/http/server_core.hpp"
+#include "adapters/net/counting_allocator.hpp"
 #include "core/base/error.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -36,6 +37,8 @@
     // Closes at once; the handler is not told.
     void stop();
     void respond(std::uint64_t request, http_response response);
+    // Handles a queued request soon. Returns false when there is none.
+    bool begin_turn();
     // The responder was destroyed without an answer.
     void abandon(std::uint64_t request);
 
@@ -44,13 +47,15 @@
     {
         idle,      // no byte of the next request has arrived
         receiving, // a request has arrived in part
+        queued,    // a whole request waits for its turn, see wait_for_turn()
         handling,  // the handler works
         writing,
         lingering, // the last response is out; input is discarded
         closed
     };
     using parser =
-        boost::beast::http::request_parser<boost::beast::http::string_body>;
+        boost::beast::http::request_parser<boost::beast::http::string_body,
+                                           counting_allocator<char>>;
     using response =
         boost::beast::http::response<boost::beast::http::string_body>;
 
@@ -61,7 +66,13 @@
     void parse();
     bool feed(boost::system::error_code& ec);
     void send_continue();
+    http_request take_request();
     void dispatch();
+    bool wait_for_turn();
+    void end_turn();
+    std::size_t held() const;
+    void shed();
+    void drop_request();
     bool has_endless_line() const;
     void reject_for_memory();
     void reject(boost::system::error_code ec);
@@ -80,8 +91,10 @@
     boost::asio::steady_timer timer_;
     std::array<char, 8192> input_; // of the pending read
     boost::beast::flat_buffer buffer_;
+    std::size_t field_bytes_ = 0;   // of the parser's header fields
+    std::size_t message_bytes_ = 0; // of the request or response in memory
     std::optional<parser> parser_;
-    receive_budget::share received_; // of the request that is being received
+    receive_budget::share received_; // see held()
     std::shared_ptr<response> response_;
     std::function<void()> on_gone_;
     std::chrono::steady_clock::time_point first_byte_{};
@@ -95,6 +108,12 @@
     bool counted_ = false;
     bool keep_alive_ = true;
     bool head_ = false;
+    bool pipelined_ = false; // the request came before the last response
+    bool has_turn_ = false;
 };
 
+// Heap memory of a message in bytes.
+std::size_t memory_of(http_request const& it);
+std::size_t memory_of(http_response const& it);
+
 } // namespace snipemill
--- a/src/adapters/http/server_core.cpp
+++ b/src/adapters/http/server_core.cpp
@@ -20,7 +20,9 @@
                          http_server_options const& options,
                          http_handler handler)
     : io_(io), options_(options), handler_(std::move(handler)),
-      budget_(std::make_shared<receive_budget>(options.max_received)),
+      budget_(options.memory
+                  ? options.memory
+                  : std::make_shared<receive_budget>(options.max_received)),
       listener_(std::make_shared<accept_loop>(io, options_.ip, options_.port,
                                               options_.reuse_port))
 {}
@@ -58,6 +60,32 @@
     connections_.erase(connection);
 }
 
+bool server_core::take_turn(std::shared_ptr<server_connection> const& it)
+{
+    if (turns_ < options_.max_pipelined) {
+        ++turns_;
+        return true;
+    }
+    queue_.push_back(it);
+    return false;
+}
+
+void server_core::end_turn()
+{
+    --turns_;
+    while (!queue_.empty() && turns_ < options_.max_pipelined) {
+        auto const it = std::move(queue_.front());
+        queue_.pop_front();
+        turns_ += it->begin_turn() ? 1 : 0;
+    }
+}
+
+void server_core::leave_queue(server_connection const* it)
+{
+    std::erase_if(queue_,
+                  [it](auto const& other) { return other.get() == it; });
+}
+
 void server_core::drain()
 {
     if (draining_) {
@@ -77,6 +105,7 @@
     listener_->stop();
     auto const connections = std::move(connections_);
     connections_.clear();
+    queue_.clear();
     for (auto const& it : connections) {
         it->stop();
     }
--- a/src/adapters/http/server_core.hpp
+++ b/src/adapters/http/server_core.hpp
@@ -8,6 +8,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <memory>
 #include <unordered_set>
 
@@ -38,6 +39,12 @@
     std::uint16_t port() const { return listener_->port(); }
     std::shared_ptr<receive_budget> const& budget() const { return budget_; }
 
+    // Pipelined requests wait for a turn: begin_turn() is called when there is
+    // room. Returns whether there is room at once.
+    bool take_turn(std::shared_ptr<server_connection> const& it);
+    void end_turn();
+    void leave_queue(server_connection const* it);
+
     std::size_t open_requests = 0;
     std::uint64_t bad_requests = 0;
 
@@ -50,6 +57,8 @@
     std::shared_ptr<receive_budget> budget_;
     std::shared_ptr<accept_loop> listener_;
     std::unordered_set<std::shared_ptr<server_connection>> connections_;
+    std::deque<std::shared_ptr<server_connection>> queue_; // for a turn
+    std::size_t turns_ = 0;                                // in use
     bool draining_ = false;
     bool reuse_refused_ = false;
 };
