Count the memory that a response takes

Cause: an endless response counted its bytes, while a growing string holds up to twice its size and parsed fields many times theirs; the text of a sent request stayed in memory until the next request of its connection. Change: client_connection counts fields, the capacity of body and buffer and the unsent request; it releases the request once written.

--- a/src/adapters/http/client_connection.cpp
+++ b/src/adapters/http/client_connection.cpp
@@ -14,6 +14,7 @@
 #include <cassert>
 #include <iterator>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace snipemill {
@@ -191,7 +192,10 @@
 
 void client_connection::begin_parser()
 {
-    parser_.emplace();
+    parser_.reset();
+    field_bytes_ = 0;
+    parser_.emplace(std::piecewise_construct, std::make_tuple(),
+                    std::make_tuple(counting_allocator<char>(&field_bytes_)));
     parser_->eager(true);
     parser_->header_limit(max_answer_header);
     parser_->body_limit(max_body_);
@@ -229,6 +233,7 @@
     if (n < request_.size()) {
         write_rest(n);
     }
+    request_ = std::string();
 }
 
 void client_connection::write_rest(std::size_t from)
@@ -236,11 +241,19 @@
     sent_ = true;
     writing_ = true;
     auto const data = std::make_shared<std::string>(request_.substr(from));
+    unsent_ = data->size();
+    if (received_ && !received_->hold(held())) {
+        asio::post(io_, [self = shared_from_this()] {
+            self->fail(exchange_fault::closed);
+        });
+        return;
+    }
     asio::async_write(socket_, asio::buffer(*data),
                       [self = shared_from_this(),
                        data](boost::system::error_code, std::size_t n) {
                           self->count_sent(n);
                           self->writing_ = false;
+                          self->unsent_ = 0;
                           // The pending read reports a broken connection; a
                           // server may also answer before it has read all.
                       });
@@ -294,7 +307,7 @@
     auto const room = buffer_.prepare(n);
     buffer_.commit(asio::buffer_copy(room, asio::buffer(input_, n)));
     boost::system::error_code ec;
-    if ((received_ && !received_->add(n)) || !feed(ec) ||
+    if (!feed(ec) || (received_ && !received_->hold(held())) ||
         skipped_ > max_skipped_answers || buffer_.size() > max_answer_header) {
         fail(exchange_fault::malformed);
         return;
@@ -306,6 +319,13 @@
     read();
 }
 
+// What the open exchange makes this connection hold, in bytes.
+std::size_t client_connection::held() const
+{
+    return field_bytes_ + parser_->get().body().capacity() +
+           buffer_.capacity() + unsent_;
+}
+
 // Gives buffered input to the parser. Returns false on a malformed answer.
 bool client_connection::feed(boost::system::error_code& ec)
 {
--- a/src/adapters/http/client_connection.hpp
+++ b/src/adapters/http/client_connection.hpp
@@ -2,6 +2,7 @@
 
 #include "adapters/http/http_server.hpp"
 #include "adapters/net/byte_count.hpp"
+#include "adapters/net/counting_allocator.hpp"
 #include "adapters/net/receive_budget.hpp"
 #include "core/base/recent_ids.hpp"
 
@@ -62,8 +63,8 @@
     // Counts the connection as broken when the server does not acknowledge
     // for this long; 0: the system's default. Before connect().
     void limit_silence(duration limit) { silence_limit_ = limit; }
-    // Counts the answer that is being received in a budget that connections
-    // share. Before connect().
+    // Counts what the open exchange holds in a budget that connections share.
+    // Before connect().
     void limit_memory(std::shared_ptr<receive_budget> budget);
     // Skips answers whose header (lower case) has another value: they belong
     // to an earlier request. Without that header the answer cannot be told from
@@ -118,7 +119,8 @@
         closed
     };
     using parser =
-        boost::beast::http::response_parser<boost::beast::http::string_body>;
+        boost::beast::http::response_parser<boost::beast::http::string_body,
+                                            counting_allocator<char>>;
 
     void on_connected(boost::system::error_code ec);
     void begin_parser();
@@ -128,6 +130,7 @@
     void read();
     void on_read(boost::system::error_code ec, std::size_t n);
     void on_input(std::size_t n);
+    std::size_t held() const;
     bool feed(boost::system::error_code& ec);
     bool skip_foreign();
     bool has_invalid_status() const;
@@ -144,10 +147,12 @@
     boost::asio::steady_timer timer_;
     std::size_t max_body_;
     std::shared_ptr<byte_count> bytes_;
-    std::optional<receive_budget::share> received_; // of the open answer
+    std::optional<receive_budget::share> received_; // see held()
     std::uint32_t skipped_ = 0;    // answers before that to the open exchange
     std::array<char, 8192> input_; // of the pending read
     boost::beast::flat_buffer buffer_;
+    std::size_t field_bytes_ = 0; // of the parser's header fields
+    std::size_t unsent_ = 0;      // of the request, while it is written
     std::optional<parser> parser_;
     std::string request_;
     std::string echo_header_;
