Test the memory of fields, shed requests and turns

Change: tests of http_server and upstream_links. Not run on the code before: the new tests of http_server and upstream_links. Measured: nothing.

--- a/tests/adapters/forward/upstream_links_test.cpp
+++ b/tests/adapters/forward/upstream_links_test.cpp
@@ -470,3 +470,20 @@
     STRCMP_EQUAL("one", body(0).c_str());
     UNSIGNED_LONGS_EQUAL(0, links->counters().invalid_statuses);
 }
+
+// Guards against counting the bytes of a header instead of the memory of its
+// parsed fields, which is many times as much.
+TEST(upstream_links, counts_the_memory_of_parsed_fields)
+{
+    constexpr std::size_t fields = 8000;
+    start();
+    send("1");
+    CHECK(wait_request("1"));
+    std::string header = "HTTP/1.1 200 OK\r\n";
+    for (std::size_t i = 0; i < fields; ++i) {
+        header += "a:b\r\n";
+    }
+    server.peers[0]->send(header + "Content-Length: 10\r\n\r\n");
+    // A field has at least two pointers for each of its lists and its text.
+    CHECK(run_until(io, [&] { return links->answer_bytes() > fields * 40; }));
+}
--- a/tests/adapters/http/http_server_test.cpp
+++ b/tests/adapters/http/http_server_test.cpp
@@ -335,3 +335,84 @@
                       });
     LONGS_EQUAL(server->port(), other.port());
 }
+
+// Guards against counting the bytes of a header instead of the memory of its
+// parsed fields, which is many times as much.
+TEST(http_server, bounds_the_memory_of_parsed_fields)
+{
+    start({.max_received = 1'000'000});
+    std::string text = "POST / HTTP/1.1\r\nContent-Length: 10\r\n";
+    for (int i = 0; i < 2300; ++i) {
+        text += "a:b\r\n";
+    }
+    std::vector<std::shared_ptr<raw_peer>> peers;
+    for (int i = 0; i < 20; ++i) {
+        peers.push_back(connect());
+        peers.back()->send(text + "\r\n"); // 230,000 bytes in all
+    }
+    // A field has at least two pointers for each of its lists and its text, so
+    // that at most ten such headers fit.
+    CHECK(run_until(io, [&] {
+        return std::count_if(peers.begin(), peers.end(), [](auto const& it) {
+                   return it->has("HTTP/1.1 503");
+               }) >= 10;
+    }));
+    CHECK_FALSE(peers.back()->has("HTTP/1.1 503"));
+}
+
+// A request in work may have run. Guards against keeping its memory when it is
+// needed, and against a refusal that says "not run".
+TEST(http_server, a_request_in_work_that_is_shed_is_reset)
+{
+    start({.max_body = 100'000, .max_received = 200'000});
+    std::vector<std::shared_ptr<raw_peer>> peers;
+    for (std::size_t i = 0; i < 3; ++i) {
+        peers.push_back(connect());
+        peers.back()->send("POST / HTTP/1.1\r\nContent-Length: 80000\r\n\r\n" +
+                           std::string(80'000, 'x'));
+        CHECK(run_until(io, [&] { return requests.size() == i + 1; }));
+    }
+    CHECK(run_until(io, [&] { return peers[0]->closed; }));
+    CHECK(peers[0]->in.empty());
+    LONGS_EQUAL(1, gone);
+    responders[2]({.body = "done"});
+    CHECK(run_until(io, [&] { return peers[2]->has("done"); }));
+}
+
+// Guards against clients that do not wait for responses and take the capacity
+// from those that do.
+TEST(http_server, pipelined_requests_take_turns)
+{
+    start({.max_pipelined = 1});
+    std::string const request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::vector<std::shared_ptr<raw_peer>> peers;
+    for (std::size_t i = 0; i < 3; ++i) {
+        peers.push_back(connect());
+        peers.back()->send(request + request);
+    }
+    CHECK(run_until(io, [&] { return requests.size() == 3; }));
+    for (std::size_t i = 0; i < 3; ++i) {
+        responders[i]({});
+    }
+    CHECK(run_until(io, [&] {
+        return std::all_of(peers.begin(), peers.end(), [](auto const& it) {
+            return it->count("HTTP/1.1 200") == 1;
+        });
+    }));
+    // One of the three second requests has the turn; another client waits for
+    // none.
+    auto const other = connect();
+    other->send(request);
+    CHECK(run_until(io, [&] { return requests.size() == 5; }));
+    responders[4]({});
+    CHECK(run_until(io, [&] { return other->has("HTTP/1.1 200"); }));
+    LONGS_EQUAL(5, requests.size());
+    responders[3]({});
+    CHECK(run_until(io, [&] { return requests.size() == 6; }));
+    // A client that leaves gives up its place.
+    for (auto const& it : peers) {
+        it->close();
+    }
+    CHECK(run_until(io, [&] { return server->open_connections() == 1; }));
+    LONGS_EQUAL(0, server->open_requests());
+}
