--- a/src/adapters/forward/upstream_links.hpp
+++ b/src/adapters/forward/upstream_links.hpp
@@ -45,6 +45,7 @@
     // Of all answers that are being received. The smallest hosts have 160 MB,
     // and a string may take three times its size while it grows.
     std::size_t max_total_answer_bytes = 32 * 1024 * 1024;
+    std::shared_ptr<receive_budget> memory; // for them; null: one of that size
 };
 
 struct link_counters
@@ -57,6 +58,8 @@
     std::uint64_t late_answers = 0;
     // Retries that needed another connection than the idle ones.
     std::uint64_t retry_connects = 0;
+    // Responses whose status is neither interim nor final.
+    std::uint64_t invalid_statuses = 0;
 };
 
 // HTTP connections to upstreams. Preconnects to each upstream that may be used,
--- a/src/adapters/http/client_connection.cpp
+++ b/src/adapters/http/client_connection.cpp
@@ -1,5 +1,8 @@
 #include "adapters/http/client_connection.hpp"
 
+#include "adapters/http/status_kind.hpp"
+#include "adapters/logging/logger.hpp"
+
 #include <boost/asio/error.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -11,6 +14,7 @@
 #include <cassert>
 #include <iterator>
 #include <string_view>
+#include <tuple>
 #include <utility>
 
 namespace snipemill {
@@ -26,6 +30,27 @@
 // Interim answers and late answers to earlier requests before the answer.
 constexpr std::uint32_t max_skipped_answers = 16;
 
+// A faulty server responds to every request. Each thread logs an invalid status
+// at most once in this time; all of them are counted.
+constexpr auto status_log_interval = std::chrono::seconds(1);
+
+void log_invalid_status(tcp::socket const& socket, unsigned status)
+{
+    thread_local std::chrono::steady_clock::time_point next{};
+    auto const now = std::chrono::steady_clock::now();
+    if (now < next) {
+        return;
+    }
+    next = now + status_log_interval;
+    boost::system::error_code ec;
+    auto const server = socket.remote_endpoint(ec);
+    log_error("invalid_status",
+              {{"address", ec ? std::string("unknown")
+                              : server.address().to_string() + ":" +
+                                    std::to_string(server.port())},
+               {"status", std::to_string(status)}});
+}
+
 // Header values can come from another host. Control characters would end the
 // header line, so they are left out.
 void append_value(std::string& out, std::string_view value)
@@ -167,7 +192,10 @@
 
 void client_connection::begin_parser()
 {
-    parser_.emplace();
+    parser_.reset();
+    field_bytes_ = 0;
+    parser_.emplace(std::piecewise_construct, std::make_tuple(),
+                    std::make_tuple(counting_allocator<char>(&field_bytes_)));
     parser_->eager(true);
     parser_->header_limit(max_answer_header);
     parser_->body_limit(max_body_);
@@ -205,6 +233,7 @@
     if (n < request_.size()) {
         write_rest(n);
     }
+    request_ = std::string();
 }
 
 void client_connection::write_rest(std::size_t from)
@@ -212,11 +241,19 @@
     sent_ = true;
     writing_ = true;
     auto const data = std::make_shared<std::string>(request_.substr(from));
+    unsent_ = data->size();
+    if (received_ && !received_->hold(held())) {
+        asio::post(io_, [self = shared_from_this()] {
+            self->fail(exchange_fault::closed);
+        });
+        return;
+    }
     asio::async_write(socket_, asio::buffer(*data),
                       [self = shared_from_this(),
                        data](boost::system::error_code, std::size_t n) {
                           self->count_sent(n);
                           self->writing_ = false;
+                          self->unsent_ = 0;
                           // The pending read reports a broken connection; a
                           // server may also answer before it has read all.
                       });
@@ -270,7 +307,7 @@
     auto const room = buffer_.prepare(n);
     buffer_.commit(asio::buffer_copy(room, asio::buffer(input_, n)));
     boost::system::error_code ec;
-    if ((received_ && !received_->add(n)) || !feed(ec) ||
+    if (!feed(ec) || (received_ && !received_->hold(held())) ||
         skipped_ > max_skipped_answers || buffer_.size() > max_answer_header) {
         fail(exchange_fault::malformed);
         return;
@@ -282,6 +319,13 @@
     read();
 }
 
+// What the open exchange makes this connection hold, in bytes.
+std::size_t client_connection::held() const
+{
+    return field_bytes_ + parser_->get().body().capacity() +
+           buffer_.capacity() + unsent_;
+}
+
 // Gives buffered input to the parser. Returns false on a malformed answer.
 bool client_connection::feed(boost::system::error_code& ec)
 {
@@ -291,6 +335,11 @@
         }
         auto const n = parser_->put(buffer_.data(), ec);
         buffer_.consume(n);
+        if (has_invalid_status()) {
+            ++invalid_statuses_;
+            log_invalid_status(socket_, parser_->get().result_int());
+            return false;
+        }
         if (ec == http::error::need_more) {
             ec = {};
             return true;
@@ -305,6 +354,12 @@
     return true;
 }
 
+bool client_connection::has_invalid_status() const
+{
+    return parser_->is_header_done() &&
+           kind_of_status(parser_->get().result_int()) == status_kind::invalid;
+}
+
 bool client_connection::is_foreign() const
 {
     if (echo_header_.empty()) {
@@ -321,11 +376,12 @@
            parser_->get().find(echo_header_) != parser_->get().end();
 }
 
-// An interim answer (1xx) is followed by the final one, and a late answer to
+// An interim answer is followed by the final one, and a late answer to
 // an earlier request by the one to this request.
 bool client_connection::skip_foreign()
 {
-    if (parser_->get().result_int() >= 200 && !is_foreign()) {
+    auto const kind = kind_of_status(parser_->get().result_int());
+    if (kind == status_kind::final_response && !is_foreign()) {
         return false;
     }
     ++skipped_;
--- a/src/app/forward/forward_traffic_report.cpp
+++ b/src/app/forward/forward_traffic_report.cpp
@@ -34,6 +34,14 @@
         names_));
 }
 
+void forward_traffic::report_memory(std::string const& kind,
+                                    receive_budget const& budget) const
+{
+    metrics_.set_counter("shed_" + kind, budget.ended());
+    metrics_.set_gauge("held_bytes_" + kind,
+                       static_cast<double>(budget.used()));
+}
+
 void forward_traffic::report() const
 {
     if (caps_) {
@@ -45,6 +53,7 @@
     metrics_.set_counter("upstream_exchanges", links.exchanges);
     metrics_.set_counter("upstream_exchanges_lost", links.lost);
     metrics_.set_counter("upstream_late_answers", links.late_answers);
+    metrics_.set_counter("upstream_invalid_statuses", links.invalid_statuses);
     metrics_.set_counter("upstream_retry_connects", links.retry_connects);
     metrics_.set_counter("upstream_answers_over_memory",
                          links_.answers_over_memory());
@@ -57,6 +66,11 @@
     metrics_.set_counter("bad_requests", callers_.bad_requests());
     metrics_.set_gauge("open_requests",
                        static_cast<double>(callers_.open_requests()));
+    report_memory("callers", *memory_.callers);
+    report_memory("readiness", *memory_.readiness);
+    report_memory("upstreams", *memory_.upstreams);
+    report_memory("relay_queries", *memory_.relay_queries);
+    report_memory("relayed_queries", *memory_.relayed_queries);
     metrics_.set_gauge("upstreams", static_cast<double>(fleet_.all().size()));
 }
 
