--- a/src/core/accounts/cap_client.cpp
+++ b/src/core/accounts/cap_client.cpp
@@ -69,6 +69,7 @@
            .basis_age = now - state.refused.asked});
         return number;
     }
+    wake_at_ = std::min(waiting_ == 0 ? time_point::max() : wake_at_, end);
     state.waiting.push_back(
         {.number = number, .end = end, .decide = std::move(f)});
     ++waiting_;
@@ -174,10 +175,10 @@
                         .to = to,
                         .sent = now,
                         .due = now + settings_.repeat};
+    wake_at_ = std::min(wake_at_, now + settings_.repeat);
     ++requests_sent_;
     // May answer at once; the state must not be used after it.
-    auto const host = to;
-    send_(host, request);
+    send_(to, request);
 }
 
 // reason, retry_after: of the refusal if there is no deputy.
@@ -338,6 +339,7 @@
     for (auto* const it : waiting_accounts()) {
         time_out_waiting(*it, now);
     }
+    find_wake_time();
 }
 
 void cap_client::time_out_waiting(entry& it, time_point now)
@@ -382,22 +384,20 @@
 
 std::optional<time_point> cap_client::next_timer() const
 {
-    std::optional<time_point> out;
-    auto const add = [&out](time_point at) {
-        out = out ? std::min(*out, at) : at;
-    };
-    if (waiting_ == 0) {
-        return out;
-    }
-    for (auto const& [name, state] : accounts_) {
-        for (auto const& w : state.waiting) {
-            add(w.end);
+    return waiting_ != 0 ? std::optional(wake_at_) : std::nullopt;
+}
+
+void cap_client::find_wake_time()
+{
+    wake_at_ = time_point::max();
+    for (auto const* const it : waiting_accounts()) {
+        for (auto const& w : it->second.waiting) {
+            wake_at_ = std::min(wake_at_, w.end);
         }
-        if (!state.waiting.empty() && state.current) {
-            add(state.current->due);
+        if (it->second.current) {
+            wake_at_ = std::min(wake_at_, it->second.current->due);
         }
     }
-    return out;
 }
 
 void cap_client::end_all()
--- a/src/core/accounts/cap_client.hpp
+++ b/src/core/accounts/cap_client.hpp
@@ -166,6 +166,7 @@
     void refuse_waiting(entry& it, cap_decision const& decision);
     std::deque<waiter> take_waiting(account_state& state);
     std::vector<entry*> waiting_accounts();
+    void find_wake_time();
     void on_overdue(entry& it, time_point now);
     void time_out_waiting(entry& it, time_point now);
     bool is_avoided(fleet_host const& host, time_point now) const;
@@ -177,6 +178,8 @@
     std::unordered_map<std::string, account_state> accounts_;
     std::map<std::string, time_point> avoided_; // hosts, until when
     std::size_t waiting_ = 0;
+    // No timer is due before; found anew when it has passed.
+    time_point wake_at_ = time_point::max();
     std::uint64_t next_number_ = 1;
     std::uint32_t next_request_ = 1;
     std::uint64_t requests_sent_ = 0;
--- a/src/core/accounts/cap_owner.cpp
+++ b/src/core/accounts/cap_owner.cpp
@@ -8,9 +8,17 @@
 
 namespace {
 
-// Part of a share with which a deputy begins. A full one would double the share
-// when a deputy restarts.
+// Part of a share with which a role begins, but one request if that is at most
+// half of it: after the start of a fleet nobody else grants. A full share would
+// double it when a deputy restarts.
 constexpr double initial_share = 0.25;
+constexpr double max_initial_share = 0.5;
+
+double initial_tokens(double share)
+{
+    return std::max(share * initial_share,
+                    std::min(1.0, share * max_initial_share));
+}
 
 // Longest time for which a host refuses an account because other hosts were
 // refused too.
@@ -211,7 +219,7 @@
         auto const shape = share_shape(role.cap);
         auto const share =
             shape.capacity + shape.rate * seconds(settings_.tolerance.window);
-        state.share.emplace(shape, share * initial_share, since);
+        state.share.emplace(shape, initial_tokens(share), since);
     }
     return *state.share;
 }
