--- a/src/app/forward/usage_caps.cpp
+++ b/src/app/forward/usage_caps.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-// Lines about refused requests in a second. The line of each request names the
-// reason too.
+// Lines about refused requests and take-overs in a second. The line of each
+// request names the reason too.
 constexpr std::uint32_t max_lines = 50;
 
 std::string ms_text(duration d)
@@ -22,9 +22,21 @@
 } // namespace
 
 usage_caps::usage_caps(boost::asio::io_context& io, options o)
-    : options_(std::move(o)),
-      owner_({.host = options_.host, .tolerance = options_.tolerance}),
-      client_({.host = options_.host, .run = std::random_device()()},
+    : options_(std::move(o)), run_(std::random_device()()),
+      // Another run than the client's: their messages have numbers of their
+      // own.
+      owner_(
+          {.host = options_.host,
+           .run = ~run_,
+           .tolerance = options_.tolerance},
+          [this](fleet_host const& to, cap_request const& request) {
+              if (send_) {
+                  send_(to, request);
+              }
+          },
+          [this](std::string const& account, std::string const& owner,
+                 bool begins) { on_takeover(account, owner, begins); }),
+      client_({.host = options_.host, .run = run_},
               [this](fleet_host const& to, cap_request const& request) {
                   send(to, request);
               }),
@@ -71,6 +83,10 @@
 
 void usage_caps::on_grant(cap_grant const& grant)
 {
+    if (grant.outcome == cap_outcome::contact) {
+        owner_.on_contact(grant, core_now());
+        return;
+    }
     client_.on_grant(grant, core_now());
     arm_timer();
 }
@@ -87,6 +103,16 @@
     }
 }
 
+void usage_caps::on_takeover(std::string const& account,
+                             std::string const& owner, bool begins)
+{
+    if (may_log()) {
+        log_info(begins ? "usage_cap_takeover_began"
+                        : "usage_cap_takeover_ended",
+                 {{"account", account}, {"owner", owner}});
+    }
+}
+
 bool usage_caps::may_log()
 {
     auto const now = core_now();
@@ -154,6 +180,9 @@
     metrics.set_counter("cap_requests_sent", client_.requests_sent());
     metrics.set_counter("cap_granted_as_owner", owner_.granted_as_owner());
     metrics.set_counter("cap_granted_as_deputy", owner_.granted_as_deputy());
+    metrics.set_counter("cap_granted_in_takeover",
+                        owner_.granted_in_takeover());
+    metrics.set_counter("cap_contacts_sent", owner_.contacts_sent());
     metrics.set_counter("cap_lines_left_out", lines_left_out_);
     metrics.set_gauge("cap_requests_waiting",
                       static_cast<double>(client_.waiting()));
--- a/src/app/forward/usage_caps.hpp
+++ b/src/app/forward/usage_caps.hpp
@@ -59,10 +59,13 @@
     void send(fleet_host const& to, cap_request const& request);
     void record(client_account const& account, std::string const& id,
                 cap_decision const& decision);
+    void on_takeover(std::string const& account, std::string const& owner,
+                     bool begins);
     bool may_log();
     void arm_timer();
 
     options options_;
+    std::uint32_t run_; // differs between two runs of the process
     send_callback send_;
     cap_owner owner_;
     cap_client client_;
--- a/src/core/accounts/cap_client.cpp
+++ b/src/core/accounts/cap_client.cpp
@@ -259,6 +259,7 @@
         refuse_over_cap(it, asked, grant, now);
         return;
     case cap_outcome::granted:
+    case cap_outcome::contact: // answers no request of a client
         return;
     case cap_outcome::not_owner:
     case cap_outcome::no_tolerance:
--- a/src/core/accounts/cap_owner.cpp
+++ b/src/core/accounts/cap_owner.cpp
@@ -34,6 +34,10 @@
 constexpr double owner_part = 0.4;
 constexpr double deputy_part = 0.4;
 
+// Until the first answers have arrived a refusal says nothing about the time
+// at which the account has room.
+constexpr duration room_before_contact = from_ms(50);
+
 double seconds(duration d)
 {
     return std::chrono::duration<double>(d).count();
@@ -52,8 +56,10 @@
 
 } // namespace
 
-cap_owner::cap_owner(cap_owner_settings settings)
-    : settings_(std::move(settings))
+cap_owner::cap_owner(cap_owner_settings settings, send_callback send,
+                     takeover_callback on_takeover)
+    : settings_(std::move(settings)), send_(std::move(send)),
+      on_takeover_(std::move(on_takeover))
 {}
 
 void cap_owner::set_plan(cap_plan const& plan, time_point now)
@@ -66,17 +72,17 @@
         role.cap = grantors.cap;
         set_role(role.owner, grantors.owner.name == settings_.host, now);
         set_role(role.deputy, grantors.deputy.name == settings_.host, now);
+        auto const previous =
+            std::exchange(role.owner_host, grantors.owner).name;
+        role.deputies =
+            role.owner ? plan.deputies(name) : std::vector<cap_deputy>();
+        role.share = plan.share_of(grantors.deputy.data_centre, grantors.owner);
         auto const state = accounts_.find(name);
         if (state != accounts_.end()) {
-            if (!role.owner) {
-                state->second.bucket.reset();
-            }
-            if (state->second.bucket) {
-                state->second.bucket->set_shape(owner_shape(role.cap), now);
-            }
-            if (state->second.share) {
-                state->second.share->set_shape(share_shape(role.cap), now);
+            if (!role.deputy || previous != grantors.owner.name) {
+                end_takeover(*state, now);
             }
+            reshape(role, state->second, now);
         }
         if (role.owner || role.deputy) {
             next.emplace(name, role);
@@ -91,6 +97,20 @@
     });
 }
 
+void cap_owner::reshape(roles const& role, account_state& state, time_point now)
+{
+    state.contacts.set_deputies(role.deputies);
+    if (!role.owner) {
+        state.bucket.reset();
+    }
+    if (state.bucket) {
+        state.bucket->set_shape(owner_shape(role.cap, state.withheld), now);
+    }
+    if (state.share) {
+        state.share->set_shape(share_shape(role.cap), now);
+    }
+}
+
 // Requests of an account in a window beyond its cap.
 double cap_owner::tolerance_of(usage_cap const& cap) const
 {
@@ -100,11 +120,11 @@
 
 // Load pattern: requests of an account that is inside its cap over a window,
 // but not evenly spread. The tolerance takes up their bursts.
-bucket_shape cap_owner::owner_shape(usage_cap const& cap) const
+bucket_shape cap_owner::owner_shape(usage_cap const& cap, double withheld) const
 {
-    return {.rate = cap.rate,
-            .capacity =
-                std::max(1.0, cap.burst + owner_part * tolerance_of(cap))};
+    return {.rate = cap.rate * (1 - withheld),
+            .capacity = std::max(1.0, cap.burst * (1 - withheld) +
+                                          owner_part * tolerance_of(cap))};
 }
 
 // Each deputy's bucket grants at most its share in a window.
@@ -148,7 +168,15 @@
         !(request.as_deputy ? role->second.deputy : role->second.owner)) {
         return refusal;
     }
-    auto& state = accounts_[request.account];
+    if (request.wanted == 0) {
+        return on_contact_message(request, role->second, now);
+    }
+    auto const [place, is_new] = accounts_.try_emplace(request.account);
+    auto& found = *place;
+    auto& state = found.second;
+    if (is_new) {
+        state.contacts.set_deputies(role->second.deputies);
+    }
     if (state.responses.size() >= max_responses) {
         state.responses.clear();
     }
@@ -161,17 +189,16 @@
         last.grant.number >> 32U == request.number >> 32U) {
         return refusal;
     }
-    last = {.grant = decide(request, role->second, state, now), .at = now};
+    last = {.grant = decide(request, role->second, found, now), .at = now};
     state.used = now;
     return last.grant;
 }
 
 cap_grant cap_owner::decide(cap_request const& request, roles const& role,
-                            account_state& state, time_point now)
+                            entry& it, time_point now)
 {
-    auto out = request.as_deputy || lapsed_
-                   ? from_share(request, role, state, now)
-                   : as_owner(request, role, state, now);
+    auto out = request.as_deputy || lapsed_ ? from_share(request, role, it, now)
+                                            : as_owner(request, role, it, now);
     out.account = request.account;
     out.host = settings_.host;
     out.number = request.number;
@@ -179,16 +206,20 @@
 }
 
 cap_grant cap_owner::as_owner(cap_request const& request, roles const& role,
-                              account_state& state, time_point now)
+                              entry& it, time_point now)
 {
+    auto& state = it.second;
     auto const sole_from = *role.owner + settings_.hold;
     if (now < sole_from) {
-        return from_share(request, role, state, now);
+        return from_share(request, role, it, now);
     }
     if (!state.bucket) {
         // Full after the idle time, because an evicted bucket was full too.
-        state.bucket.emplace(owner_shape(role.cap), 0, sole_from);
+        state.bucket.emplace(owner_shape(role.cap, 0), 0, sole_from);
+        state.withheld = 0;
+        state.set_aside = 0;
     }
+    contact_deputies(request.wanted, role, it, now);
     auto& bucket = *state.bucket;
     if (auto const n = bucket.take(request.wanted, now)) {
         granted_as_owner_ += n;
@@ -197,7 +228,7 @@
     // Shortly after the hold an empty bucket does not tell that the account has
     // used its cap.
     if (now < sole_from + settings_.tolerance.window) {
-        auto out = from_share(request, role, state, now);
+        auto out = from_share(request, role, it, now);
         if (out.outcome == cap_outcome::granted) {
             return out;
         }
@@ -205,10 +236,15 @@
     auto const room =
         std::max(bucket.room_at(now), now + contention(state, now));
     auto const promised = bucket.promise(request.wanted, now);
+    // The first answers have not arrived yet.
+    auto const longest =
+        state.set_aside > 0 && now < state.set_aside_at + room_before_contact
+            ? room_before_contact
+            : duration::max();
     return {.outcome = cap_outcome::over_cap,
-            .room_after = room - now,
-            .retry_after = promised - now,
-            .interval = bucket.interval()};
+            .room_after = std::min(room - now, longest),
+            .retry_after = std::min(promised - now, longest),
+            .interval = std::min(bucket.interval(), longest)};
 }
 
 // The hosts that were refused just now share the next tokens: if each asked
@@ -240,13 +276,18 @@
 }
 
 cap_grant cap_owner::from_share(cap_request const& request, roles const& role,
-                                account_state& state, time_point now)
+                                entry& it, time_point now)
 {
-    auto& share = share_of(role, state, now);
+    auto& share = share_of(role, it.second, now);
     if (auto const n = share.take(request.wanted, now)) {
         granted_as_deputy_ += n;
         return {.granted = n};
     }
+    if (request.as_deputy && role.deputy && !lapsed_) {
+        if (auto const out = from_takeover(request, role, it, now)) {
+            return *out;
+        }
+    }
     auto const room =
         std::min(share.room_at(now), now + settings_.tolerance.window);
     return {.outcome = cap_outcome::no_tolerance,
@@ -263,10 +304,14 @@
         return;
     }
     evicted_ = now;
-    for (auto& [name, state] : accounts_) {
+    for (auto& account : accounts_) {
+        auto& state = account.second;
         std::erase_if(state.responses, [&](auto const& it) {
             return now >= it.second.at + settings_.remember;
         });
+        if (now >= state.used + settings_.idle) {
+            end_takeover(account, now);
+        }
     }
     std::erase_if(accounts_, [&](auto& it) {
         auto& state = it.second;
--- a/src/core/accounts/cap_plan.hpp
+++ b/src/core/accounts/cap_plan.hpp
@@ -4,6 +4,7 @@
 #include "core/forward/relay_plan.hpp"
 
 #include <cstddef>
+#include <map>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -21,6 +22,16 @@
     friend bool operator==(cap_grantors const&, cap_grantors const&) = default;
 };
 
+// The deputy of a data centre, and the part of an account's rate that it grants
+// while it cannot reach the owner: its hosts without the owner / all hosts.
+struct cap_deputy
+{
+    fleet_host host;
+    double share = 0;
+
+    friend bool operator==(cap_deputy const&, cap_deputy const&) = default;
+};
+
 // Owner and deputies of each account that has a limit. Every host computes the
 // same from the same list of hosts, by rendezvous hashing: when a host joins or
 // leaves, only the accounts that it takes or had change their owner.
@@ -41,12 +52,19 @@
         return grantors_;
     }
     std::size_t data_centres() const { return data_centres_; }
+    // The deputies of all data centres. Computed anew at each call, because a
+    // host needs them only for the accounts that it owns.
+    std::vector<cap_deputy> deputies(std::string const& account) const;
+    double share_of(std::string const& data_centre,
+                    fleet_host const& owner) const;
 
     friend bool operator==(cap_plan const&, cap_plan const&) = default;
 
 private:
     std::unordered_map<std::string, cap_grantors> grantors_;
     std::size_t data_centres_ = 1;
+    std::vector<fleet_host> hosts_;               // that can be asked
+    std::map<std::string, std::size_t> hosts_of_; // by data centre
 };
 
 } // namespace snipemill
--- a/src/core/accounts/usage_bucket.cpp
+++ b/src/core/accounts/usage_bucket.cpp
@@ -27,15 +27,23 @@
       promised_(from)
 {}
 
-void usage_bucket::set_shape(bucket_shape shape, time_point now)
+double usage_bucket::set_shape(bucket_shape shape, time_point now)
 {
     if (shape == shape_) {
-        return;
+        return 0;
     }
     refill(now);
     shape_ = shape;
-    tokens_ = std::min(tokens_, shape_.capacity);
+    auto const beyond = std::max(0.0, tokens_ - shape_.capacity);
+    tokens_ -= beyond;
     promised_ = now;
+    return beyond;
+}
+
+void usage_bucket::add(double tokens, time_point now)
+{
+    refill(now);
+    tokens_ = std::min(tokens_ + tokens, shape_.capacity);
 }
 
 double usage_bucket::tokens_at(time_point now) const
--- a/src/core/accounts/usage_bucket.hpp
+++ b/src/core/accounts/usage_bucket.hpp
@@ -23,8 +23,9 @@
     // Gains tokens from `from` on, which may lie ahead.
     usage_bucket(bucket_shape shape, double tokens, time_point from);
 
-    // Keeps the tokens, up to the new capacity.
-    void set_shape(bucket_shape shape, time_point now);
+    // Keeps the tokens, up to the new capacity. Returns those beyond it.
+    double set_shape(bucket_shape shape, time_point now);
+    void add(double tokens, time_point now);
     // Takes up to n whole tokens and returns how many.
     std::uint32_t take(std::uint32_t n, time_point now);
     // Time at which there is a whole token; time_point::max(): never.
--- a/tests/core/accounts/cap_parts_test.cpp
+++ b/tests/core/accounts/cap_parts_test.cpp
@@ -102,6 +102,29 @@
     }
 }
 
+// Load: 500 accounts on 19 hosts in three data centres of unequal size. Guards
+// against parts of the rate that are more than the whole, against an owner that
+// is its own deputy, and against another deputy than that of the hosts there.
+TEST(cap_plan, deputies_share_the_rate_without_the_owner)
+{
+    auto hosts = fleet(3, 6);
+    hosts.push_back({.name = "x", .data_centre = "d0", .relay_port = 7});
+    auto const all = accounts(500, {.rate = 1});
+    cap_plan const it(hosts, "d1", all);
+    for (auto const& [name, grantors] : it.all()) {
+        double sum = 0;
+        for (auto const& deputy : it.deputies(name)) {
+            sum += deputy.share;
+            CHECK(deputy.host.name != grantors.owner.name);
+            cap_plan const there(hosts, deputy.host.data_centre,
+                                 {{.name = name, .cap = {.rate = 1}}});
+            CHECK(there.find(name)->deputy == deputy.host);
+        }
+        UNSIGNED_LONGS_EQUAL(3, it.deputies(name).size());
+        DOUBLES_EQUAL(18.0 / 19, sum, 1e-9);
+    }
+}
+
 // Guards against hosts that cannot be asked, and accounts without a limit.
 TEST(cap_plan, needs_a_port_and_a_limit)
 {
