--- a/src/app/forward/usage_caps.cpp
+++ b/src/app/forward/usage_caps.cpp
@@ -36,10 +36,11 @@
           },
           [this](std::string const& account, std::string const& owner,
                  bool begins) { on_takeover(account, owner, begins); }),
-      client_({.host = options_.host, .run = run_},
-              [this](fleet_host const& to, cap_request const& request) {
-                  send(to, request);
-              }),
+      client_(
+          {.host = options_.host, .run = run_, .tolerance = options_.tolerance},
+          [this](fleet_host const& to, cap_request const& request) {
+              send(to, request);
+          }),
       timer_(io)
 {}
 
--- a/src/core/accounts/cap_owner.cpp
+++ b/src/core/accounts/cap_owner.cpp
@@ -30,7 +30,8 @@
 constexpr std::size_t max_responses = 1024;
 
 // Parts of the tolerance that the owner and all deputies together may use. The
-// rest is for tokens that are spent a lifetime after they were granted.
+// rest is for tokens that are spent a lifetime after they were granted, and for
+// changes of the hosts that have these roles.
 constexpr double owner_part = 0.4;
 constexpr double deputy_part = 0.4;
 
@@ -102,6 +103,7 @@
     state.contacts.set_deputies(role.deputies);
     if (!role.owner) {
         state.bucket.reset();
+        state.asked = 0;
     }
     if (state.bucket) {
         state.bucket->set_shape(owner_shape(role.cap, state.withheld), now);
@@ -111,28 +113,24 @@
     }
 }
 
-// Requests of an account in a window beyond its cap.
-double cap_owner::tolerance_of(usage_cap const& cap) const
-{
-    auto const& t = settings_.tolerance;
-    return t.overage * (cap.rate * seconds(t.window) + cap.burst) + t.slack;
-}
-
 // Load pattern: requests of an account that is inside its cap over a window,
 // but not evenly spread. The tolerance takes up their bursts.
 bucket_shape cap_owner::owner_shape(usage_cap const& cap, double withheld) const
 {
-    return {.rate = cap.rate * (1 - withheld),
-            .capacity = std::max(1.0, cap.burst * (1 - withheld) +
-                                          owner_part * tolerance_of(cap))};
+    return {
+        .rate = cap.rate * (1 - withheld),
+        .capacity = std::max(
+            1.0, cap.burst * (1 - withheld) +
+                     owner_part * tolerated_excess(settings_.tolerance, cap))};
 }
 
 // Each deputy's bucket grants at most its share in a window.
 bucket_shape cap_owner::share_shape(usage_cap const& cap) const
 {
     auto const window = seconds(settings_.tolerance.window);
-    auto const share =
-        deputy_part * tolerance_of(cap) / static_cast<double>(data_centres_);
+    auto const share = deputy_part *
+                       tolerated_excess(settings_.tolerance, cap) /
+                       static_cast<double>(data_centres_);
     auto const capacity = std::min(share, std::max(1.0, share / 2));
     return {.rate = (share - capacity) / window, .capacity = capacity};
 }
@@ -151,6 +149,7 @@
         }
         for (auto& [name, state] : accounts_) {
             state.bucket.reset();
+            state.asked = 0;
         }
     }
 }
@@ -210,6 +209,7 @@
 {
     auto& state = it.second;
     auto const sole_from = *role.owner + settings_.hold;
+    state.asked += request.wanted;
     if (now < sole_from) {
         return from_share(request, role, it, now);
     }
@@ -226,12 +226,11 @@
         return {.granted = n};
     }
     // Shortly after the hold an empty bucket does not tell that the account has
-    // used its cap.
-    if (now < sole_from + settings_.tolerance.window) {
-        auto out = from_share(request, role, it, now);
-        if (out.outcome == cap_outcome::granted) {
-            return out;
-        }
+    // used its cap; what it has asked for since does.
+    auto const elapsed = now - *role.owner;
+    if (now < sole_from + settings_.tolerance.window &&
+        state.asked <= role.cap.burst + role.cap.rate * seconds(elapsed)) {
+        return from_share(request, role, it, now);
     }
     auto const room =
         std::max(bucket.room_at(now), now + contention(state, now));
--- a/src/core/accounts/cap_owner.hpp
+++ b/src/core/accounts/cap_owner.hpp
@@ -95,8 +95,9 @@
 
     struct account_state
     {
-        std::optional<usage_bucket> bucket;                  // as owner
-        std::optional<usage_bucket> share;                   // of the tolerance
+        std::optional<usage_bucket> bucket; // as owner
+        double asked = 0;                   // requests, since the role began
+        std::optional<usage_bucket> share;  // of the tolerance
         std::unordered_map<std::string, response> responses; // by host
         time_point used{};
 
@@ -137,7 +138,6 @@
     static duration contention(account_state const& state, time_point now);
     usage_bucket& share_of(roles const& role, account_state& state,
                            time_point now);
-    double tolerance_of(usage_cap const& cap) const;
     // withheld: part of the cap that deputies may be granting.
     bucket_shape owner_shape(usage_cap const& cap, double withheld) const;
     bucket_shape share_shape(usage_cap const& cap) const;
--- a/src/core/accounts/cap_owner_contacts.cpp
+++ b/src/core/accounts/cap_owner_contacts.cpp
@@ -24,7 +24,8 @@
     auto const window =
         std::chrono::duration<double>(settings_.tolerance.window).count();
     return std::min(max_quiet_demand * cap.rate,
-                    quiet_part * tolerance_of(cap) / window);
+                    quiet_part * tolerated_excess(settings_.tolerance, cap) /
+                        window);
 }
 
 std::uint64_t cap_owner::send_contact(std::string const& account,
--- a/tests/core/accounts/cap_fleet.hpp
+++ b/tests/core/accounts/cap_fleet.hpp
@@ -218,6 +218,7 @@
         owner.run = ++runs_;
         auto client = o_.client;
         client.host = it.entry.name;
+        client.tolerance = o_.tolerance;
         client.run = ++runs_;
         it.process->owner = std::make_unique<cap_owner>(
             owner, [this, i](fleet_host const& to, cap_request const& r) {
