--- a/src/core/forward/upstream_record.hpp
+++ b/src/core/forward/upstream_record.hpp
@@ -19,6 +19,7 @@
     bool draining = false;       // shutting down; takes no new requests
     duration cold_left{};        // time until the upstream is warm
     std::int64_t started_ms = 0; // wall clock at start; 0: unknown
+    std::string version{};       // of the service; empty: none stated
 
     friend bool operator==(upstream_record const&,
                            upstream_record const&) = default;
