--- a/src/adapters/codec/host_codec.cpp
+++ b/src/adapters/codec/host_codec.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-// Most versions and routes in one report.
+// Most routes in one report.
 constexpr int max_report_items = 256;
 
 void write(wire::StoreFloor& out, floor_message const& from)
@@ -46,26 +46,47 @@
     out.set_room_after_us(to_us(from.room_after));
 }
 
+void write(wire::VersionCounts& out, version_counts const& from)
+{
+    out.set_sent(from.sent);
+    out.set_ended(from.ended);
+    out.set_failed(from.failed);
+    auto const& counts = from.latencies.counts;
+    for (std::size_t i = 0; i < counts.size(); ++i) {
+        if (counts[i] > 0) {
+            auto& it = *out.add_latencies();
+            it.set_bucket(static_cast<std::uint32_t>(i));
+            it.set_count(counts[i]);
+        }
+    }
+}
+
 void write(wire::RolloutReport& out, rollout_report const& from)
 {
     out.set_service(from.service);
     out.set_target_version(from.target_version);
     out.set_host(from.host);
-    out.set_fence(from.fence);
-    for (auto const& it : from.versions) {
-        auto& counts = *out.add_versions();
-        counts.set_version(it.version);
-        counts.set_requests(it.requests);
-        counts.set_bad(it.bad);
-        for (auto const& sum : it.latencies) {
-            auto& latency = *counts.add_latencies();
-            latency.set_route(sum.route);
-            latency.set_responses(sum.responses);
-            latency.set_sum_us(to_us(sum.sum));
-        }
+    out.set_incarnation(from.incarnation);
+    out.set_share(from.share);
+    for (auto const& it : from.routes) {
+        auto& route = *out.add_routes();
+        route.set_route(it.route);
+        write(*route.mutable_previous(), it.previous);
+        write(*route.mutable_target(), it.target);
     }
 }
 
+void write(wire::RolloutInstruction& out, rollout_instruction const& from)
+{
+    out.set_service(from.service);
+    out.set_target_version(from.target_version);
+    out.set_token(from.token);
+    out.set_number(from.number);
+    out.set_state(enum_number(from.state));
+    out.set_share(from.share);
+    out.set_decider(from.decider);
+}
+
 bool read(wire::StoreFloor const& in, floor_message& out)
 {
     if (in.revision() == 0 ||
@@ -104,38 +125,60 @@
            read_duration(in.room_after_us(), out.room_after);
 }
 
-bool read(wire::RouteLatency const& in, route_latency_sum& out)
+bool read(wire::VersionCounts const& in, version_counts& out)
 {
-    out.responses = in.responses();
-    // A sum over many responses may exceed the longest single duration.
-    if (in.sum_us() > static_cast<std::uint64_t>(duration::max().count())) {
+    out.sent = in.sent();
+    out.ended = in.ended();
+    out.failed = in.failed();
+    if (out.ended > out.sent || out.failed > out.ended) {
         return false;
     }
-    out.sum = duration(static_cast<duration::rep>(in.sum_us()));
-    return read_name(in.route(), out.route);
+    for (auto const& it : in.latencies()) {
+        if (it.bucket() >= latency_counts::size) {
+            return false;
+        }
+        out.latencies.counts[it.bucket()] = it.count();
+    }
+    return true;
 }
 
-bool read(wire::VersionCounts const& in, version_counts& out)
+// False for no number as well.
+bool is_share(double v)
+{
+    return v >= 0 && v <= 1;
+}
+
+bool read(wire::RouteCounts const& in, route_counts& out)
 {
-    out.requests = in.requests();
-    out.bad = in.bad();
-    return in.latencies_size() <= max_report_items &&
-           read_name(in.version(), out.version) &&
-           read_items(
-               in.latencies(), out.latencies,
-               [](auto const& from, auto& to) { return read(from, to); });
+    return read_name(in.route(), out.route) &&
+           read(in.previous(), out.previous) && read(in.target(), out.target);
 }
 
 bool read(wire::RolloutReport const& in, rollout_report& out)
 {
-    out.fence = in.fence();
-    return in.versions_size() <= max_report_items && !in.service().empty() &&
-           !in.host().empty() && read_name(in.service(), out.service) &&
+    out.incarnation = in.incarnation();
+    out.share = in.share();
+    return is_share(out.share) && in.routes_size() <= max_report_items &&
+           !in.service().empty() && !in.host().empty() &&
+           read_name(in.service(), out.service) &&
            read_name(in.target_version(), out.target_version) &&
            read_name(in.host(), out.host) &&
-           read_items(
-               in.versions(), out.versions,
-               [](auto const& from, auto& to) { return read(from, to); });
+           read_items(in.routes(), out.routes, [](auto const& from, auto& to) {
+               return read(from, to);
+           });
+}
+
+bool read(wire::RolloutInstruction const& in, rollout_instruction& out)
+{
+    out.token = in.token();
+    out.number = in.number();
+    out.share = in.share();
+    return out.token != 0 && out.number != 0 && is_share(out.share) &&
+           !in.service().empty() && !in.decider().empty() &&
+           read_enum(rollout_state_names, in.state(), out.state) &&
+           read_name(in.service(), out.service) &&
+           read_name(in.target_version(), out.target_version) &&
+           read_name(in.decider(), out.decider);
 }
 
 template <class T, class Wire>
@@ -163,6 +206,9 @@
             [&](cap_grant const& it) { write(*out.mutable_cap_grant(), it); },
             [&](rollout_report const& it) {
                 write(*out.mutable_rollout_report(), it);
+            },
+            [&](rollout_instruction const& it) {
+                write(*out.mutable_rollout_instruction(), it);
             }},
         message);
     return out.SerializeAsString();
@@ -184,6 +230,8 @@
         return read_as<cap_grant>(it->cap_grant());
     case wire::HostDatagram::kRolloutReport:
         return read_as<rollout_report>(it->rollout_report());
+    case wire::HostDatagram::kRolloutInstruction:
+        return read_as<rollout_instruction>(it->rollout_instruction());
     case wire::HostDatagram::MESSAGE_NOT_SET:
         break;
     }
--- a/src/adapters/codec/host_codec.hpp
+++ b/src/adapters/codec/host_codec.hpp
@@ -2,7 +2,7 @@
 
 #include "core/accounts/cap_messages.hpp"
 #include "core/forward/store_freshness.hpp"
-#include "core/rollouts/rollout_report.hpp"
+#include "core/rollouts/rollout_messages.hpp"
 
 #include <optional>
 #include <string>
@@ -19,8 +19,8 @@
 };
 
 // A datagram between hosts.
-using host_message =
-    std::variant<floor_message, cap_request, cap_grant, rollout_report>;
+using host_message = std::variant<floor_message, cap_request, cap_grant,
+                                  rollout_report, rollout_instruction>;
 
 std::string encode(host_message const& message);
 // No value when the bytes are malformed or a field is out of range.
--- a/src/adapters/logging/logger.cpp
+++ b/src/adapters/logging/logger.cpp
@@ -11,6 +11,8 @@
 #include <log4cplus/loggingmacros.h>
 
 #include <memory>
+#include <span>
+#include <vector>
 
 namespace snipemill {
 
@@ -45,7 +47,10 @@
            text.find_first_of(" \"=\n\r\t") != std::string_view::npos;
 }
 
-std::string format_text(std::string_view event, log_fields fields)
+using field_span =
+    std::span<std::pair<std::string_view, std::string_view> const>;
+
+std::string format_text(std::string_view event, field_span fields)
 {
     std::string line(event);
     for (auto const& [key, value] : fields) {
@@ -57,7 +62,7 @@
     return line;
 }
 
-std::string format_json(std::string_view event, log_fields fields)
+std::string format_json(std::string_view event, field_span fields)
 {
     std::string line = "\"event\":" + json_string(event);
     for (auto const& [key, value] : fields) {
@@ -66,7 +71,7 @@
     return line;
 }
 
-std::string format_line(std::string_view event, log_fields fields)
+std::string format_line(std::string_view event, field_span fields)
 {
     return state().format == log_format::json ? format_json(event, fields)
                                               : format_text(event, fields);
@@ -130,12 +135,21 @@
 
 void log_info(std::string_view event, log_fields fields)
 {
-    LOG4CPLUS_INFO(log4cplus::Logger::getRoot(), format_line(event, fields));
+    LOG4CPLUS_INFO(log4cplus::Logger::getRoot(),
+                   format_line(event, {fields.begin(), fields.size()}));
+}
+
+void log_info(std::string_view event, log_field_list const& fields)
+{
+    std::vector<std::pair<std::string_view, std::string_view>> const views(
+        fields.begin(), fields.end());
+    LOG4CPLUS_INFO(log4cplus::Logger::getRoot(), format_line(event, views));
 }
 
 void log_error(std::string_view event, log_fields fields)
 {
-    LOG4CPLUS_ERROR(log4cplus::Logger::getRoot(), format_line(event, fields));
+    LOG4CPLUS_ERROR(log4cplus::Logger::getRoot(),
+                    format_line(event, {fields.begin(), fields.size()}));
 }
 
 } // namespace snipemill
--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -41,6 +41,9 @@
 // it, and all kinds are listed again.
 constexpr duration crash_watch_timeout = from_ms(20'000);
 
+// These watches return an order or a status at once.
+constexpr duration rollout_watch_timeout = from_ms(20'000);
+
 // Entries of crashes older than this are removed.
 constexpr std::int64_t crash_lifetime_ms =
     std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -113,7 +116,9 @@
     std::array const timeouts{settings.change_within - watch_margin,
                               settings.leave_within - watch_margin,
                               settings.evacuate_within - watch_margin,
-                              host_watch_timeout, crash_watch_timeout};
+                              host_watch_timeout,
+                              crash_watch_timeout,
+                              rollout_watch_timeout};
     auto const longest = std::chrono::duration_cast<duration>(
         settings.store_history * max_watch_ratio);
     for (std::size_t i = 0; i < watchers_.size(); ++i) {
@@ -125,6 +130,12 @@
     }
     watchers_[1]->batch_delay = upstream_batch_delay;
     watchers_[3]->batch_delay = host_batch_delay;
+    if (settings.rollouts) {
+        rollouts_ = std::make_unique<rollout_control>(
+            io, rollout_control::options{.store = &store_,
+                                         .host = settings.name,
+                                         .bounds = *settings.rollouts});
+    }
 }
 
 void forward_control::start()
@@ -142,7 +153,9 @@
     }
     for (std::size_t i = 1; i < watchers_.size(); ++i) {
         watchers_[i]->mirror.require_revision(watchers_[0]->mirror.revision());
-        call(*watchers_[i]);
+        if (follows(watchers_[i]->kind)) {
+            call(*watchers_[i]);
+        }
     }
 }
 
@@ -179,6 +192,9 @@
 void forward_control::deregister()
 {
     draining_ = true;
+    if (rollouts_) {
+        rollouts_->stop();
+    }
     renewal_timer_.cancel();
     crash_timer_.cancel();
     store_.remove_host(host_.name);
@@ -263,8 +279,12 @@
                                    });
                    },
                    [&](watch_action const& action) {
+                       // An order has a time limit from the moment at which
+                       // it is given.
+                       bool const rollouts = it.kind == store_kind::rollouts;
                        store_.watch(it.kind, action.revision, it.watch_timeout,
-                                    read_age::may_be_old,
+                                    rollouts ? read_age::current
+                                             : read_age::may_be_old,
                                     [this, &it, current](auto result) {
                                         if (current()) {
                                             on_watched(it, std::move(result));
@@ -361,6 +381,9 @@
 {
     started_all_kinds_ = true;
     for (auto& it : watchers_) {
+        if (!follows(it->kind)) {
+            continue;
+        }
         it->mirror.on_error(store_error::history_gone, 0);
         list_again(*it);
     }
@@ -413,7 +436,8 @@
 void forward_control::publish()
 {
     auto const out = std::make_shared<forward_snapshot>();
-    auto& [manifests, upstreams, evacuations, hosts, crashes] = watchers_;
+    auto& [manifests, upstreams, evacuations, hosts, crashes, rollouts] =
+        watchers_;
     manifests->mirror.for_each(
         [this](std::string const&, store_value const& it) {
             apply_manifest(it);
@@ -429,7 +453,8 @@
             out->evacuated.insert(name);
         });
     out->complete = upstreams->mirror.ready() && evacuations->mirror.ready() &&
-                    manifest_ != nullptr;
+                    manifest_ != nullptr &&
+                    (!rollouts_ || rollouts->mirror.ready());
     if (hosts->mirror.ready()) {
         restore_entry();
         out->hosts = live_hosts();
@@ -444,10 +469,32 @@
         out->crashes = live_crashes(out->hosts);
     }
     out->upstreams_revision = upstreams->mirror.revision();
+    set_versions(*out);
     publish_(out);
     arm_expiry();
 }
 
+bool forward_control::follows(store_kind kind) const
+{
+    return kind != store_kind::rollouts || rollouts_;
+}
+
+void forward_control::set_versions(forward_snapshot& out)
+{
+    if (!rollouts_) {
+        return;
+    }
+    std::vector<rollout_entry> entries;
+    watchers_[5]->mirror.for_each(
+        [&](std::string const&, store_value const& it) {
+            if (auto const* const entry = std::get_if<rollout_entry>(&it)) {
+                entries.push_back(*entry);
+                entries.back().era = watchers_[5]->mirror.era();
+            }
+        });
+    rollouts_->on_snapshot(out, std::move(entries));
+}
+
 void forward_control::arm_expiry()
 {
     std::optional<time_point> at;
--- a/src/app/forward/forward_control.hpp
+++ b/src/app/forward/forward_control.hpp
@@ -3,6 +3,7 @@
 #include "adapters/settings/forward_settings.hpp"
 #include "app/forward/floor_keeper.hpp"
 #include "app/forward/forward_snapshot.hpp"
+#include "app/forward/rollout_control.hpp"
 #include "core/base/rng.hpp"
 #include "core/forward/store_era.hpp"
 #include "core/forward/store_mirror.hpp"
@@ -43,6 +44,8 @@
     void start();
     // A floor that another host has sent.
     void on_floor(floor_message const& message) { floors_.on_message(message); }
+    // Null when rollouts are not carried out.
+    rollout_control* rollouts() { return rollouts_.get(); }
     void report(forward_metrics& metrics) const;
     // Removes this host's entry from the store.
     void deregister();
@@ -128,6 +131,9 @@
     void send_crash_changes();
     void keep_crash_change(crash_entry const& entry, bool add);
     void compare_crashes(std::int64_t oldest_ms);
+    // Whether entries of the kind are followed.
+    bool follows(store_kind kind) const;
+    void set_versions(forward_snapshot& out);
     std::vector<crash_entry> live_crashes(std::vector<fleet_host> const& hosts);
 
     store_port& store_;
@@ -158,6 +164,7 @@
     std::vector<fleet_host> planned_hosts_; // of the last floor_plan
     floor_keeper::send_callback send_floor_;
     floor_keeper floors_;
+    std::unique_ptr<rollout_control> rollouts_;
 };
 
 } // namespace snipemill
--- a/src/app/forward/forward_control_era.cpp
+++ b/src/app/forward/forward_control_era.cpp
@@ -51,7 +51,7 @@
     entry_to_compare_ = true;
     crashes_to_compare_ = true;
     for (auto& it : watchers_) {
-        if (it->mirror.enter_era(era)) {
+        if (follows(it->kind) && it->mirror.enter_era(era)) {
             list_again(*it);
         }
     }
@@ -108,6 +108,9 @@
     metrics.set_gauge("store_era", static_cast<double>(era_.value()));
     metrics.set_counter("store_era_changes", era_.changes());
     metrics.set_counter("store_answers_of_older_eras", era_.older_answers());
+    if (rollouts_) {
+        rollouts_->report(metrics);
+    }
 }
 
 } // namespace snipemill
--- a/src/app/forward/forward_host.cpp
+++ b/src/app/forward/forward_host.cpp
@@ -69,6 +69,7 @@
             });
         });
     open_host_link();
+    connect_rollouts();
     traffic_->on_crash([this](crash_entry const& entry, bool added) {
         asio::post(control_io_, [this, entry, added] {
             added ? control_->save_crash(entry) : control_->clear_crash(entry);
@@ -129,20 +130,63 @@
         });
 }
 
+// Datagrams of rollouts pass through the traffic thread, which owns the socket
+// and the counters.
+void forward_host::connect_rollouts()
+{
+    if (!control_->rollouts()) {
+        return;
+    }
+    rollout_control::links links;
+    links.publish = [this](version_shares shares,
+                           std::map<std::string, std::string> targets) {
+        asio::post(traffic_io_, [this, shares = std::move(shares),
+                                 targets = std::move(targets)] {
+            traffic_->set_versions(shares, targets);
+        });
+    };
+    links.collect = [this](auto f) {
+        asio::post(traffic_io_, [this, f = std::move(f)] {
+            asio::post(control_io_,
+                       [f, it = traffic_->version_reports()] { f(it); });
+        });
+    };
+    links.send = [this](fleet_host const& to, rollout_message const& it) {
+        asio::post(traffic_io_, [this, to, it] {
+            if (host_link_) {
+                std::visit(
+                    [&](auto const& each) { host_link_->send(to, each); }, it);
+            }
+        });
+    };
+    control_->rollouts()->connect(std::move(links));
+}
+
+void forward_host::on_rollout_message(rollout_message const& message)
+{
+    asio::post(control_io_, [this, message] {
+        if (control_->rollouts()) {
+            control_->rollouts()->on_message(message);
+        }
+    });
+}
+
 void forward_host::on_host_message(host_message const& message)
 {
-    std::visit(overloaded{[this](floor_message const& it) {
-                              asio::post(control_io_, [this, it] {
-                                  control_->on_floor(it);
-                              });
-                          },
-                          [this](auto const& it) {
-                              traffic_->on_host_message(
-                                  it, [this](host_message const& response) {
-                                      host_link_->reply(response);
-                                  });
-                          }},
-               message);
+    std::visit(
+        overloaded{
+            [this](floor_message const& it) {
+                asio::post(control_io_, [this, it] { control_->on_floor(it); });
+            },
+            [this](rollout_report const& it) { on_rollout_message(it); },
+            [this](rollout_instruction const& it) { on_rollout_message(it); },
+            [this](auto const& it) {
+                traffic_->on_host_message(it,
+                                          [this](host_message const& response) {
+                                              host_link_->reply(response);
+                                          });
+            }},
+        message);
 }
 
 bool forward_host::run()
--- a/src/app/forward/forward_host.hpp
+++ b/src/app/forward/forward_host.hpp
@@ -54,6 +54,8 @@
 
 private:
     void open_host_link();
+    void connect_rollouts();
+    void on_rollout_message(rollout_message const& message);
     void on_host_message(host_message const& message);
     void wait_signal();
     void on_signal(int number);
--- a/src/app/forward/forward_snapshot.hpp
+++ b/src/app/forward/forward_snapshot.hpp
@@ -7,8 +7,10 @@
 #include "core/forward/relay_plan.hpp"
 #include "core/forward/route_index.hpp"
 #include "core/forward/upstream_record.hpp"
+#include "core/rollouts/version_share.hpp"
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -49,6 +51,9 @@
     time_point listed_until{};
     bool complete = false; // has a manifest, upstreams, evacuations
     std::uint64_t upstreams_revision = 0;
+    version_shares versions; // empty: versions do not matter
+    // Target versions of the services that are rolled out.
+    std::map<std::string, std::string> rollout_targets;
 };
 
 } // namespace snipemill
--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -97,7 +97,8 @@
               .min_hosts = static_cast<double>(settings.hosts),
               .retry_slack = settings.retry_slack,
               .crashes = crash_guard(crash_options()),
-              .now = core_now},
+              .now = core_now,
+              .versions = settings.rollouts ? &versions_ : nullptr},
       relay_link_(io, memory.relayed_queries),
       relays_({.data_centre = settings.data_centre}, relay_link_,
               std::random_device()(), log_relay_state),
@@ -154,6 +155,7 @@
                             state.limits.header_timeout,
                             state.limits.idle_timeout);
     }
+    set_versions(snapshot_->versions, snapshot_->rollout_targets);
     auto const changes =
         fleet_.update(snapshot_->upstreams, snapshot_->evacuated, now);
     update_fleet_sharing(snapshot_->hosts);
@@ -282,6 +284,19 @@
     });
 }
 
+void forward_traffic::set_versions(
+    version_shares versions, std::map<std::string, std::string> const& targets)
+{
+    if (!settings_.rollouts) {
+        return;
+    }
+    versions_.set_targets(targets);
+    fleet_.set_versions(std::move(versions));
+    if (preconnecting_) {
+        preconnect();
+    }
+}
+
 void forward_traffic::preconnect()
 {
     for (auto const& it : fleet_.all()) {
--- a/src/app/forward/forward_traffic.hpp
+++ b/src/app/forward/forward_traffic.hpp
@@ -17,12 +17,14 @@
 #include "core/forward/relay_pool.hpp"
 #include "core/forward/request_run.hpp"
 #include "core/forward/weighted_rotation.hpp"
+#include "core/rollouts/version_counters.hpp"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -59,6 +61,14 @@
     // Calls reply before it returns, if the message has a response.
     void on_host_message(host_message const& message,
                          std::function<void(host_message const&)> const& reply);
+    // Sets which versions of a service get requests, and the target versions
+    // whose requests are counted.
+    void set_versions(version_shares versions,
+                      std::map<std::string, std::string> const& targets);
+    std::vector<rollout_report> version_reports() const
+    {
+        return versions_.reports();
+    }
     void set_retry_budget(retry_budget_settings const& settings);
     // Fails readiness checks, asks callers to close their connections, and
     // refuses requests that may not end in time.
@@ -131,6 +141,7 @@
     host_memory const& memory_;
     std::function<void(crash_entry const&, bool)> on_crash_;
     std::shared_ptr<forward_snapshot const> snapshot_;
+    version_counters versions_;
     upstream_fleet fleet_;
     upstream_links links_;
     fetch_context shared_;
--- a/src/app/forward/forward_traffic_caps.cpp
+++ b/src/app/forward/forward_traffic_caps.cpp
@@ -53,7 +53,8 @@
     std::visit(
         overloaded{[&](cap_request const& it) { reply(caps_->on_request(it)); },
                    [&](cap_grant const& it) { caps_->on_grant(it); },
-                   [](floor_message const&) {}, [](rollout_report const&) {}},
+                   [](floor_message const&) {}, [](rollout_report const&) {},
+                   [](rollout_instruction const&) {}},
         message);
 }
 
--- a/src/core/forward/service_fetch.cpp
+++ b/src/core/forward/service_fetch.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <tuple>
 #include <utility>
 
 namespace snipemill {
@@ -69,6 +70,33 @@
     return lost && !lost->closed_by_host && !it.leaving();
 }
 
+// Counts an ended attempt for the rollout of its service. An exchange that this
+// host closed has taken at least the elapsed time.
+void count_version(fetch_context& shared, std::string const& route,
+                   upstream_view const& upstream, duration elapsed,
+                   exchange_outcome const& outcome)
+{
+    if (!shared.versions) {
+        return;
+    }
+    auto& counters = *shared.versions;
+    auto const& [service, version] =
+        std::tie(upstream.record.service, upstream.record.version);
+    auto const* const lost = std::get_if<exchange_lost>(&outcome);
+    auto const end = outcome_of(outcome);
+    if (end == attempt_outcome::answered || (lost && lost->closed_by_host)) {
+        counters.on_answered(service, route, version, elapsed);
+    }
+    else if (end == attempt_outcome::failed ||
+             end == attempt_outcome::no_stamp ||
+             lost_by_upstream(outcome, upstream)) {
+        counters.on_failed(service, route, version);
+    }
+    else {
+        counters.on_released(service, route, version);
+    }
+}
+
 // The outcome of an abandoned attempt still updates the state of its upstream.
 void record_late_outcome(fetch_context& shared, upstream_view& upstream,
                          route_latency const& latency, time_point start,
@@ -152,14 +180,23 @@
     if (options_.query) {
         ++options_.query->open;
     }
+    if (options_.shared->versions) {
+        options_.shared->versions->on_sent(upstream->record.service,
+                                           options_.route->name,
+                                           upstream->record.version);
+    }
     attempts_.push_back({.upstream = upstream, .start = now});
+    auto const& route =
+        *options_.shared->latencies.try_emplace(options_.route->name).first;
     attempts_[n].id = options_.shared->exchanges.send(
         upstream, options_.request, options_.end,
         [this, n, upstream, alive = alive_, shared = options_.shared,
-         latency = &options_.shared->latencies[options_.route->name],
+         route = &route.first, latency = &route.second,
          print = options_.request->print, query_id = options_.query_id,
          suspect = options_.suspect, start = now](exchange_outcome outcome) {
             upstream->open_suspects -= suspect ? 1 : 0;
+            count_version(*shared, *route, *upstream, shared->now() - start,
+                          outcome);
             if (*alive && attempts_[n].open) {
                 on_outcome(n, std::move(outcome));
                 return;
--- a/src/core/forward/service_fetch.hpp
+++ b/src/core/forward/service_fetch.hpp
@@ -6,6 +6,7 @@
 #include "core/forward/retry_budget.hpp"
 #include "core/forward/route_latency.hpp"
 #include "core/forward/upstream_fleet.hpp"
+#include "core/rollouts/version_counters.hpp"
 
 #include <algorithm>
 #include <cstdint>
@@ -57,7 +58,8 @@
     std::unordered_map<std::string, route_latency> latencies; // by route
     crash_guard crashes{crash_guard_options{}};
     std::function<time_point()> now;
-    std::uint64_t quarantined = 0; // requests refused by crashes
+    version_counters* versions = nullptr; // null: not counted
+    std::uint64_t quarantined = 0;        // requests refused by crashes
     std::uint64_t hedges = 0;
     std::uint64_t retries = 0;
     std::uint64_t budget_refusals = 0;
--- a/src/core/forward/upstream_fleet.cpp
+++ b/src/core/forward/upstream_fleet.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 namespace snipemill {
@@ -89,6 +90,7 @@
             out.added.push_back(it);
         }
         it->evacuated = evacuated.contains(record.data_centre);
+        it->role = role_of(record);
         upstreams.push_back(std::move(it));
     }
     for (auto const& [instance, it] : previous) {
@@ -159,11 +161,33 @@
     choose_subsets();
 }
 
-bool upstream_fleet::takes_requests(upstream_view const& it)
+bool upstream_fleet::in_service(upstream_view const& it)
 {
     return it.listed && !it.leaving() && !it.evacuated && !it.address_reused;
 }
 
+bool upstream_fleet::takes_requests(upstream_view const& it)
+{
+    return in_service(it) && (it.role == version_role::serving ||
+                              it.role == version_role::fallback);
+}
+
+version_role upstream_fleet::role_of(upstream_record const& record) const
+{
+    auto const it = versions_.find(record.service);
+    return it == versions_.end() ? version_role::serving
+                                 : it->second.role_of(record.version);
+}
+
+void upstream_fleet::set_versions(version_shares versions)
+{
+    versions_ = std::move(versions);
+    for (auto const& it : all_) {
+        it->role = role_of(it->record);
+    }
+    choose_subsets();
+}
+
 bool upstream_fleet::usable(upstream_view const& it) const
 {
     return takes_requests(it) && it.reach != reachability::unreachable;
@@ -265,14 +289,16 @@
     return out;
 }
 
+template <class Matches>
 upstream_ptr upstream_fleet::best_of(service_entry const& entry,
                                      choice_request const& request,
-                                     bool inside_subset, choice_failure& why)
+                                     Matches matches, choice_failure& why)
 {
     upstream_ptr best;
     auto best_score = std::numeric_limits<double>::max();
     for (auto const& it : entry.replicas) {
-        if (it->in_subset != inside_subset || !usable(*it) ||
+        if (!matches(*it) || !in_service(*it) ||
+            it->reach == reachability::unreachable ||
             contains(request.exclude, it)) {
             continue;
         }
@@ -292,6 +318,42 @@
     return best;
 }
 
+// A request that is repeated stays with the version in use. The share goes to
+// as many new upstreams as load them like the old ones: versions that are bad
+// under load only show it then. All hosts choose the same ones.
+upstream_ptr upstream_fleet::choose_canary(service_entry const& entry,
+                                           choice_request const& request)
+{
+    auto const version = versions_.find(entry.service.name);
+    bool const repeated = request.exclude && !request.exclude->empty();
+    if (version == versions_.end() || version->second.share <= 0 || repeated ||
+        random_.unit() >= version->second.share) {
+        return nullptr;
+    }
+    std::vector<std::pair<std::uint64_t, upstream_view const*>> canaries;
+    std::size_t serving = 0;
+    for (auto const& it : entry.replicas) {
+        serving += takes_requests(*it) ? 1 : 0;
+        if (it->role == version_role::canary && in_service(*it) &&
+            it->reach != reachability::unreachable) {
+            canaries.emplace_back(hash_bytes(it->record.instance), it.get());
+        }
+    }
+    std::sort(canaries.begin(), canaries.end());
+    auto const n = static_cast<std::size_t>(
+        std::lround(version->second.share * static_cast<double>(serving)));
+    canaries.resize(std::min(canaries.size(), std::max<std::size_t>(1, n)));
+    choice_failure why{};
+    return best_of(
+        entry, request,
+        [&](upstream_view const& it) {
+            return std::any_of(
+                canaries.begin(), canaries.end(),
+                [&](auto const& canary) { return canary.second == &it; });
+        },
+        why);
+}
+
 upstream_ptr upstream_fleet::choose(choice_request const& request,
                                     choice_failure& why)
 {
@@ -300,9 +362,26 @@
     if (entry == services_.end()) {
         return nullptr;
     }
-    auto best = best_of(entry->second, request, true, why);
+    auto const serving = [](bool inside_subset) {
+        return [inside_subset](upstream_view const& it) {
+            return it.role == version_role::serving &&
+                   it.in_subset == inside_subset;
+        };
+    };
+    auto best = choose_canary(entry->second, request);
+    if (!best) {
+        best = best_of(entry->second, request, serving(true), why);
+    }
     if (!best) {
-        best = best_of(entry->second, request, false, why);
+        best = best_of(entry->second, request, serving(false), why);
+    }
+    if (!best && why == choice_failure::none_usable) {
+        best = best_of(
+            entry->second, request,
+            [](upstream_view const& it) {
+                return it.role == version_role::fallback;
+            },
+            why);
     }
     if (best) {
         auto const rate = entry->second.service.cold_rate;
@@ -344,23 +423,26 @@
     for (auto& [name, entry] : services_) {
         auto& replicas = entry.replicas;
         auto const cap = entry.service.max_connections;
-        auto n = replicas.size();
+        auto const serving = static_cast<std::size_t>(
+            std::count_if(replicas.begin(), replicas.end(), [](auto const& it) {
+                return it->role == version_role::serving;
+            }));
+        auto n = serving;
         auto const hosts = sending_hosts(name);
         if (served_by_relays(name)) {
             n = 0; // connections are opened only while no relay is reachable
         }
         else if (cap > 0 && cap < hosts) {
-            auto const share =
-                static_cast<double>(replicas.size()) * cap / hosts;
+            auto const share = static_cast<double>(serving) * cap / hosts;
             // At least two, so that a retry or hedge has another replica.
             n = std::clamp(static_cast<std::size_t>(share),
-                           std::min<std::size_t>(2, replicas.size()),
-                           replicas.size());
+                           std::min<std::size_t>(2, serving), serving);
         }
         auto const rank = [this](upstream_ptr const& it) {
             bool const own = it->record.data_centre == settings_.data_centre;
-            return std::pair(!own, hash_bytes(it->record.instance,
-                                              hash_bytes(settings_.host)));
+            return std::tuple(
+                it->role != version_role::serving, !own,
+                hash_bytes(it->record.instance, hash_bytes(settings_.host)));
         };
         std::sort(
             replicas.begin(), replicas.end(),
--- a/src/core/forward/upstream_fleet.hpp
+++ b/src/core/forward/upstream_fleet.hpp
@@ -3,6 +3,7 @@
 #include "core/base/rng.hpp"
 #include "core/forward/manifest.hpp"
 #include "core/forward/upstream_view.hpp"
+#include "core/rollouts/version_share.hpp"
 
 #include <cstdint>
 #include <functional>
@@ -100,6 +101,8 @@
     changes update(std::vector<upstream_record> const& records,
                    std::set<std::string> const& evacuated, time_point now);
     void set_services(std::vector<upstream_service> const& services);
+    // Sets which versions of a service get requests. Without a call all do.
+    void set_versions(version_shares versions);
 
     // The replica with the lowest score, or null. `why` is valid only when the
     // result is null.
@@ -158,7 +161,10 @@
         time_point at{};
     };
 
+    // Whether its entry and its answers allow requests, whatever its version.
+    static bool in_service(upstream_view const& it);
     static bool takes_requests(upstream_view const& it);
+    version_role role_of(upstream_record const& record) const;
     // Hosts that send to the service.
     double sending_hosts(std::string const& service) const;
     bool uses_relays(std::string const& service) const;
@@ -185,16 +191,22 @@
     // there are hosts, each host uses a subset of the replicas of a service:
     // those of its own data centre first, then by a hash of host and instance.
     void choose_subsets();
-    // The replica with the lowest score among those inside the subset, or among
-    // those outside if `inside_subset` is false; null if there is none.
+    // The replica with the lowest score among those that match; null if there
+    // is none.
+    template <class Matches>
     upstream_ptr best_of(service_entry const& entry,
-                         choice_request const& request, bool inside_subset,
+                         choice_request const& request, Matches matches,
                          choice_failure& why);
+    // An upstream of the version that is being rolled out, if this request is
+    // of its share.
+    upstream_ptr choose_canary(service_entry const& entry,
+                               choice_request const& request);
 
     upstream_fleet_settings settings_;
     fleet_sharing sharing_;
     rng random_;
     std::function<void(upstream_view const&, admission_change)> on_admission_;
+    version_shares versions_;
     std::vector<upstream_ptr> all_;
     std::unordered_map<std::string, service_entry> services_;
     // Unresponsive upstreams by data centre, since the last response from the
--- a/src/core/forward/upstream_view.hpp
+++ b/src/core/forward/upstream_view.hpp
@@ -2,6 +2,7 @@
 
 #include "core/forward/upstream_admission.hpp"
 #include "core/forward/upstream_record.hpp"
+#include "core/rollouts/version_share.hpp"
 
 #include <cstdint>
 #include <memory>
@@ -27,6 +28,7 @@
     upstream_record record; // current entry in the store
     bool listed = true;     // in the store's list
     bool evacuated = false; // its data centre takes no requests
+    version_role role = version_role::serving; // of its version
     // Another instance answered at its address. Reset when the entry in the
     // store changes.
     bool address_reused = false;
--- a/src/core/rollouts/rollout_entry.hpp
+++ b/src/core/rollouts/rollout_entry.hpp
@@ -50,6 +50,7 @@
     std::string target_version;
     duration time_limit{};
     std::uint64_t revision = 0;
+    std::uint64_t era = 0; // of the store; revisions hold within one
     rollout_status status;
 
     // State of the current order. A status of an earlier target does not count.
--- a/src/core/rollouts/rollout_run.cpp
+++ b/src/core/rollouts/rollout_run.cpp
@@ -18,10 +18,14 @@
 // reports.
 constexpr duration report_time = from_ms(600);
 
-// Instructions that tell the end of a rollout, for hosts that the store does
-// not reach; then the status in the store is enough.
+// Ticks for which the end of a rollout is told to hosts that the store does not
+// reach; then the status in the store is enough.
 constexpr std::uint64_t last_instructions = 20;
 
+// An unchanged instruction is repeated at this interval, a third of the time
+// for which hosts obey it.
+constexpr duration repeat_interval = from_ms(500);
+
 bool is_end(rollout_state it)
 {
     return it == rollout_state::succeeded || it == rollout_state::rolled_back;
@@ -70,6 +74,9 @@
         return;
     }
     if (status.decider == options_.decider) {
+        if (status.token >= token_) {
+            own_status_ = status;
+        }
         if (token_ == 0 && !is_end(status.state)) {
             token_ = status.token;
             instructions_ = 0;
@@ -99,7 +106,8 @@
 
 void rollout_run::on_entry(rollout_entry const& entry, time_point now)
 {
-    if (entry.revision < entry_.revision) {
+    if (std::pair(entry.era, entry.revision) <
+        std::pair(entry_.era, entry_.revision)) {
         return;
     }
     entry_ = entry;
@@ -150,13 +158,16 @@
          {"token", std::to_string(sent->status.token)},
          {"revision", std::to_string(sent->revision)}});
     if (result == status_write::done && written) {
-        on_entry(*written, now);
+        auto entry = *written;
+        entry.era = sent->era;
+        on_entry(entry, now);
     }
 }
 
 rollout_status rollout_run::next_status(rollout_state state) const
 {
-    auto out = entry_.status;
+    // A restored store may show an older status than this host has written.
+    auto out = token_ != 0 ? own_status_ : entry_.status;
     out.state = state;
     out.target_version = entry_.target_version;
     out.requests = requests();
@@ -170,7 +181,8 @@
         return;
     }
     next_write_ = now + write_timeout;
-    write_ = open_write{.revision = entry_.revision, .status = status};
+    write_ = open_write{
+        .revision = entry_.revision, .era = entry_.era, .status = status};
     options_.write(entry_.revision, std::move(status));
 }
 
@@ -224,9 +236,9 @@
     if (ended()) {
         decided_ = entry_.state();
         step_.share = decided_ == rollout_state::succeeded ? 1 : 0;
-        if (instructions_ > 0 && last_instructions > ended_instructions_) {
+        if (announcing()) {
             ++ended_instructions_;
-            send_instruction();
+            send_instruction(now);
         }
         return;
     }
@@ -236,8 +248,9 @@
     if (decided_ == rollout_state::rolled_back) {
         step_.share = 0;
     }
-    send_instruction();
-    if (decided_ != rollout_state::running) {
+    send_instruction(now);
+    bool const status_lost = entry_.status.token < token_;
+    if (decided_ != rollout_state::running || status_lost) {
         write(next_status(decided_), now);
     }
 }
@@ -311,16 +324,29 @@
     }
 }
 
-void rollout_run::send_instruction()
+bool rollout_run::announcing() const
+{
+    return ended() && token_ != 0 && instructions_ > 0 &&
+           ended_instructions_ < last_instructions;
+}
+
+void rollout_run::send_instruction(time_point now)
 {
     // Hosts learn of `succeeded` when the store has confirmed it: the write
     // may fail, and a rollback may be due after all.
     bool const announced = decided_ != rollout_state::succeeded || ended();
+    auto const state = announced ? decided_ : rollout_state::running;
+    if (instructed_ == std::pair(step_.share, state) &&
+        now < instructed_at_ + repeat_interval) {
+        return;
+    }
+    instructed_ = {step_.share, state};
+    instructed_at_ = now;
     options_.instruct({.service = entry_.service,
                        .target_version = entry_.target_version,
                        .token = token_,
                        .number = ++instructions_,
-                       .state = announced ? decided_ : rollout_state::running,
+                       .state = state,
                        .share = step_.share,
                        .decider = options_.decider});
 }
--- a/src/core/rollouts/rollout_run.hpp
+++ b/src/core/rollouts/rollout_run.hpp
@@ -4,6 +4,7 @@
 #include "core/rollouts/rollout_judge.hpp"
 #include "core/rollouts/rollout_messages.hpp"
 #include "core/rollouts/rollout_plan.hpp"
+#include "ports/store_port.hpp"
 
 #include <cstddef>
 #include <cstdint>
@@ -15,21 +16,6 @@
 
 namespace snipemill {
 
-enum class status_write : std::uint8_t
-{
-    done,
-    conflict, // the entry has changed; nothing was written
-    refused,  // nothing was written
-    unknown   // no answer: it may have been written, or be written later
-};
-
-inline constexpr name_table<status_write, 4> status_write_names{{
-    {status_write::done, "done"},
-    {status_write::conflict, "conflict"},
-    {status_write::refused, "refused"},
-    {status_write::unknown, "unknown"},
-}};
-
 // What a host sees around it when it decides.
 struct rollout_surroundings
 {
@@ -77,6 +63,8 @@
     void on_tick(rollout_surroundings const& around, time_point now);
 
     bool deciding() const { return token_ != 0; }
+    // The rollout has ended and this host still tells the others.
+    bool announcing() const;
     rollout_entry const& entry() const { return entry_; }
     // The rollout has ended in the store.
     bool ended() const;
@@ -87,6 +75,7 @@
     struct open_write
     {
         std::uint64_t revision = 0;
+        std::uint64_t era = 0;
         rollout_status status;
     };
 
@@ -94,7 +83,8 @@
     void decide(rollout_surroundings const& around, time_point now);
     void judge(rollout_surroundings const& around, time_point now);
     void plan(rollout_surroundings const& around, time_point now);
-    void send_instruction();
+    // Repeats an unchanged instruction at a longer interval.
+    void send_instruction(time_point now);
     void write(rollout_status status, time_point now);
     void lose(std::uint64_t token, std::string const& decider);
     void adopt(rollout_status const& status, time_point now);
@@ -113,9 +103,12 @@
     time_point step_since_{};
     std::uint64_t token_ = 0; // of this host's right to decide; 0: none
     std::uint64_t instructions_ = 0;
-    std::uint64_t ended_instructions_ = 0; // sent since the end
+    time_point instructed_at_{};
+    std::pair<double, rollout_state> instructed_{}; // share and state
+    std::uint64_t ended_instructions_ = 0;          // sent since the end
     // State that this host has decided on and not necessarily written.
     rollout_state decided_ = rollout_state::running;
+    rollout_status own_status_; // last one that the store has confirmed
     std::optional<open_write> write_;
     time_point next_write_{};
     time_point gained_at_{};    // the right to decide
--- a/src/core/rollouts/version_policy.cpp
+++ b/src/core/rollouts/version_policy.cpp
@@ -177,16 +177,19 @@
     return it != in_use_.end() ? it->second : std::string();
 }
 
-bool version_policy::has_lease(std::string const& service, time_point now) const
+std::string version_policy::decider(std::string const& service) const
 {
-    auto const it = instructions_.find(service);
-    return it != instructions_.end() && it->second.until > now;
-}
-
-std::uint64_t version_policy::highest_token(std::string const& service) const
-{
-    auto const it = instructions_.find(service);
-    return it != instructions_.end() ? it->second.value.token : 0;
+    rollout_status known;
+    auto const entry = entries_.find(service);
+    if (entry != entries_.end()) {
+        known = entry->second.status;
+    }
+    auto const held = instructions_.find(service);
+    auto const& out =
+        held != instructions_.end() && held->second.value.token >= known.token
+            ? held->second.value.decider
+            : known.decider;
+    return out.substr(0, out.rfind('/'));
 }
 
 } // namespace snipemill
--- a/src/core/rollouts/version_policy.hpp
+++ b/src/core/rollouts/version_policy.hpp
@@ -44,9 +44,9 @@
     std::optional<time_point> next_change(time_point now) const;
     // Version that the service used before its current order.
     std::string in_use(std::string const& service) const;
-    // Whether the instruction in force was accepted recently.
-    bool has_lease(std::string const& service, time_point now) const;
-    std::uint64_t highest_token(std::string const& service) const;
+    // Name of the host that decides on the service's rollout, as far as known;
+    // empty: none.
+    std::string decider(std::string const& service) const;
 
 private:
     struct held_instruction
--- a/src/core/rollouts/version_share.hpp
+++ b/src/core/rollouts/version_share.hpp
@@ -9,9 +9,10 @@
 // What upstreams of a version get.
 enum class version_role : std::uint8_t
 {
-    serving, // requests as usual
-    canary,  // the share of a version that is being rolled out
-    unused   // nothing
+    serving,  // requests as usual
+    canary,   // the share of a version that is being rolled out
+    fallback, // requests that no serving upstream can take
+    unused    // nothing
 };
 
 // How the requests to a service are divided among versions of its upstreams.
@@ -21,7 +22,7 @@
     std::string canary;
     bool has_canary = false;
     double share = 0; // of the canary version
-    // The canary version also gets requests when no serving upstream is usable.
+    // The canary version gets requests only when no serving upstream is usable.
     bool fallback = false;
 
     version_role role_of(std::string const& version) const
@@ -29,8 +30,10 @@
         if (version == serving) {
             return version_role::serving;
         }
-        return has_canary && version == canary ? version_role::canary
-                                               : version_role::unused;
+        if (!has_canary || version != canary) {
+            return version_role::unused;
+        }
+        return fallback ? version_role::fallback : version_role::canary;
     }
 
     friend bool operator==(version_share const&,
--- a/src/ports/store_port.hpp
+++ b/src/ports/store_port.hpp
@@ -5,10 +5,12 @@
 #include "core/forward/manifest.hpp"
 #include "core/forward/relay_plan.hpp"
 #include "core/forward/upstream_record.hpp"
+#include "core/rollouts/rollout_entry.hpp"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -22,15 +24,17 @@
     upstreams,   // one entry for each upstream, written by itself
     evacuations, // data centres that are to get no requests
     hosts,       // one entry for each host of the fleet, written by itself
-    crashes      // upstreams that ended while they ran a request
+    crashes,     // upstreams that ended while they ran a request
+    rollouts     // orders to change the version of a service, and their status
 };
 
-inline constexpr name_table<store_kind, 5> store_kind_names{{
+inline constexpr name_table<store_kind, 6> store_kind_names{{
     {store_kind::manifests, "manifests"},
     {store_kind::upstreams, "upstreams"},
     {store_kind::evacuations, "evacuations"},
     {store_kind::hosts, "hosts"},
     {store_kind::crashes, "crashes"},
+    {store_kind::rollouts, "rollouts"},
 }};
 
 // An entry that another writer has spoilt.
@@ -52,7 +56,8 @@
 
 using store_value =
     std::variant<unreadable_entry, std::shared_ptr<manifest const>,
-                 upstream_record, evacuation_entry, host_entry, crash_entry>;
+                 upstream_record, evacuation_entry, host_entry, crash_entry,
+                 rollout_entry>;
 
 struct store_entry
 {
@@ -102,6 +107,22 @@
     may_be_old
 };
 
+// Result of a conditional write of a rollout's status.
+enum class status_write : std::uint8_t
+{
+    done,
+    conflict, // the entry has changed; nothing was written
+    refused,  // nothing was written
+    unknown   // no answer: it may have been written, or be written later
+};
+
+inline constexpr name_table<status_write, 4> status_write_names{{
+    {status_write::done, "done"},
+    {status_write::conflict, "conflict"},
+    {status_write::refused, "refused"},
+    {status_write::unknown, "unknown"},
+}};
+
 template <class T>
 using store_callback = std::function<void(std::variant<T, store_error>)>;
 
@@ -130,6 +151,12 @@
     // Removes an entry, if there is one. The callback tells whether it is gone.
     virtual void remove_crash(crash_entry entry,
                               std::function<void(bool)> f) = 0;
+    // Writes the status of a rollout if the store's entry still has the
+    // revision of this one. The callback gets the entry as it was written, if
+    // the answer has it.
+    virtual void put_rollout_status(
+        rollout_entry entry,
+        std::function<void(status_write, std::optional<rollout_entry>)> f) = 0;
 };
 
 } // namespace snipemill
--- a/tests/adapters/codec/host_codec_test.cpp
+++ b/tests/adapters/codec/host_codec_test.cpp
@@ -2,6 +2,7 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <cmath>
 #include <cstddef>
 #include <string>
 
@@ -24,17 +25,30 @@
                              .room_after = from_ms(210),
                              .retry_after = from_ms(410),
                              .interval = from_ms(200)};
-rollout_report const report_sample{
-    .service = "prices",
-    .target_version = "v2",
-    .host = "host-4",
-    .fence = 12,
-    .versions = {
-        {.version = "v2",
-         .requests = 40,
-         .bad = 3,
-         .latencies = {
-             {.route = "r", .responses = 37, .sum = from_ms(90'000'000)}}}}};
+rollout_report report_of_one_route()
+{
+    route_counts it{.route = "r",
+                    .previous = {.sent = 40, .ended = 39, .failed = 1},
+                    .target = {.sent = 7, .ended = 7, .failed = 3}};
+    it.previous.latencies.counts[17] = 38;
+    it.target.latencies.counts[63] = 4;
+    return {.host = "host-4",
+            .incarnation = 1ULL << 60U,
+            .service = "prices",
+            .target_version = "v2",
+            .share = 0.125,
+            .routes = {it}};
+}
+
+rollout_report const report_sample = report_of_one_route();
+rollout_instruction const instruction_sample{.service = "prices",
+                                             .target_version = "v2",
+                                             .token = 3,
+                                             .number = 90,
+                                             .state =
+                                                 rollout_state::rolled_back,
+                                             .share = 0.5,
+                                             .decider = "host-4/17"};
 
 } // namespace
 
@@ -79,6 +93,7 @@
 TEST(host_codec, keeps_every_field_of_a_rollout_report)
 {
     CHECK(passed_on(report_sample) == report_sample);
+    CHECK(passed_on(instruction_sample) == instruction_sample);
 }
 
 // Guards against floors taken from a datagram that is cut or none of ours.
@@ -86,7 +101,8 @@
 {
     for (host_message const& it :
          {host_message(floor_sample), host_message(request_sample),
-          host_message(grant_sample), host_message(report_sample)}) {
+          host_message(grant_sample), host_message(report_sample),
+          host_message(instruction_sample)}) {
         auto const bytes = encode(it);
         for (std::size_t n = 0; n < bytes.size(); ++n) {
             CHECK_FALSE(decode_host_message(bytes.substr(0, n)).has_value());
@@ -122,6 +138,17 @@
     floor.floor.revision = 0;
     CHECK_FALSE(decode_host_message(encode(floor)).has_value());
     auto report = report_sample;
-    report.versions.resize(300);
+    report.routes.resize(300);
+    CHECK_FALSE(decode_host_message(encode(report)).has_value());
+    report = report_sample;
+    report.routes[0].target.failed = 8;
     CHECK_FALSE(decode_host_message(encode(report)).has_value());
+    auto instruction = instruction_sample;
+    instruction.share = 1.5;
+    CHECK_FALSE(decode_host_message(encode(instruction)).has_value());
+    instruction.share = std::nan("");
+    CHECK_FALSE(decode_host_message(encode(instruction)).has_value());
+    instruction = instruction_sample;
+    instruction.token = 0;
+    CHECK_FALSE(decode_host_message(encode(instruction)).has_value());
 }
--- a/tests/app/forward/forward_control_fixture.hpp
+++ b/tests/app/forward/forward_control_fixture.hpp
@@ -57,6 +57,15 @@
         on_crash_change = std::move(f);
     }
 
+    void put_rollout_status(
+        rollout_entry entry,
+        std::function<void(status_write, std::optional<rollout_entry>)> f)
+        override
+    {
+        put_statuses.push_back(std::move(entry));
+        on_status_put = std::move(f);
+    }
+
     // The callback is moved out first: it makes the next call, which stores a
     // new callback.
     void complete_list(store_kind kind,
@@ -94,6 +103,9 @@
     std::vector<crash_entry> put_crashes;
     std::vector<crash_entry> removed_crashes;
     std::function<void(bool)> on_crash_change;
+    std::vector<rollout_entry> put_statuses;
+    std::function<void(status_write, std::optional<rollout_entry>)>
+        on_status_put;
     std::map<store_kind, int> list_counts;
     std::map<store_kind, read_age> list_ages;
     std::map<store_kind, duration> watch_timeouts;
--- a/tests/core/rollouts/rollout_fixture.hpp
+++ b/tests/core/rollouts/rollout_fixture.hpp
@@ -48,8 +48,8 @@
         version_policy policy;
         version_counters counters;
         std::unique_ptr<rollout_run> run;
-        std::uint64_t seen = 0; // revision of the store
-        duration phase{};       // of its timer
+        std::pair<std::uint64_t, std::uint64_t> seen; // era and revision
+        duration phase{};                             // of its timer
     };
 
     struct options
@@ -106,7 +106,7 @@
         it.policy = version_policy();
         it.counters = version_counters();
         it.run.reset();
-        it.seen = 0;
+        it.seen = {};
         read_store(it);
     }
     void restart(sim_host& it)
@@ -147,6 +147,13 @@
     bool store_up = true;
     // Unanswered writes that the store executes later.
     bool store_delays_writes = false;
+    // The store comes back from a copy with this entry.
+    void restore(rollout_entry const& copy)
+    {
+        auto const era = order_.era + 1;
+        order_ = copy;
+        order_.era = era;
+    }
     rollout_state state() const { return order_.state(); }
     rollout_entry& entry() { return order_; }
 
@@ -188,7 +195,8 @@
             if (!it->alive || it->frozen) {
                 continue;
             }
-            if (it->reaches_store && store_up && it->seen != order_.revision) {
+            if (it->reaches_store && store_up &&
+                it->seen != std::pair(order_.era, order_.revision)) {
                 read_store(*it);
             }
             if ((now_.time_since_epoch() + it->phase) % from_ms(250) ==
@@ -207,7 +215,7 @@
             make_run(it);
         }
         it.run->on_entry(order_, now_);
-        it.seen = order_.revision;
+        it.seen = {order_.era, order_.revision};
     }
     void make_run(sim_host& it)
     {
@@ -306,6 +314,9 @@
             auto const& share = shares.at("s");
             report.share = share.serving == "v2" ? 1 : share.share;
             for (auto& to : hosts) {
+                if (to->name != it.policy.decider("s")) {
+                    continue;
+                }
                 send(it, *to, [this, &to = *to, report] {
                     if (to.run) {
                         to.run->on_report(report, now_);
--- a/tests/core/rollouts/rollout_run_test.cpp
+++ b/tests/core/rollouts/rollout_run_test.cpp
@@ -238,3 +238,30 @@
     f.run_out();
     check_succeeded(f);
 }
+
+// A store is restored from a copy that lacks the status, or has an older one.
+// Guards against a rollback that is forgotten, and against a rollout that
+// stops because its deciding host no longer finds its token.
+TEST(rollout_run, store_restored_from_an_older_copy)
+{
+    for (bool const good : {true, false}) {
+        for (std::int64_t const at : {3000, 6000}) {
+            rollout_fixture f({});
+            f.model = [&](auto const&) {
+                return sample_answer{.failed = !good && random(0.4)};
+            };
+            auto const copy = f.entry();
+            f.run_to(from_ms(at));
+            auto const target = f.target_requests;
+            f.restore(copy);
+            f.run_out();
+            if (good) {
+                check_succeeded(f);
+            }
+            else {
+                check_rolled_back(f);
+                CHECK(at == 3000 || f.target_requests == target);
+            }
+        }
+    }
+}
--- a/tests/platform/documents_test.cpp
+++ b/tests/platform/documents_test.cpp
@@ -163,10 +163,64 @@
                                    .slots = 2,
                                    .draining = false,
                                    .cold_left = from_ms(1500),
-                                   .started_ms = 1'700'000'000'000};
+                                   .started_ms = 1'700'000'000'000,
+                                   .version = "v1"};
     CHECK(std::get<upstream_record>(value) == expected);
 }
 
+// Guards against an order that is lost or taken for another one, and against a
+// status that another host cannot go on from.
+TEST(documents, passes_a_rollout_on_through_the_store)
+{
+    std::string const order =
+        R"({"meta": {"name": "x", "revision": 3},
+            "spec": {"backend": "s1", "target_version": "v2",
+                     "duration_s": 12}})";
+    auto it = platform::decode_rollout(order);
+    CHECK(it.has_value());
+    rollout_entry const expected{.name = "x",
+                                 .service = "s1",
+                                 .target_version = "v2",
+                                 .time_limit = from_ms(12'000),
+                                 .revision = 3};
+    CHECK(*it == expected);
+    it->status = {.state = rollout_state::running,
+                  .target_version = "v2",
+                  .previous_version = "v1",
+                  .token = 4,
+                  .decider = "h1/9",
+                  .started_ms = 1'700'000'000'000,
+                  .requests = 90,
+                  .target_requests = 7};
+    auto const text = platform::encode_rollout_status(*it);
+    auto const status = text.substr(text.find("\"status\""));
+    auto const next = platform::decode_rollout(
+        order.substr(0, order.size() - 1) + "," + status);
+    CHECK(next.has_value());
+    CHECK(next->status == it->status);
+    CHECK(text.find("\"revision\":3") != std::string::npos);
+}
+
+// Guards against carrying out an order whose service, version or time limit is
+// not known.
+TEST(documents, an_incomplete_order_is_unreadable)
+{
+    for (std::string const spec :
+         {R"({"target_version": "v2", "duration_s": 12})",
+          R"({"backend": "s1", "duration_s": 12})",
+          R"({"backend": "s1", "target_version": "v2"})",
+          R"({"backend": "s1", "target_version": "v2", "duration_s": 0})"}) {
+        CHECK_FALSE(platform::decode_rollout(
+                        R"({"meta": {"name": "x", "revision": 3}, "spec": )" +
+                        spec + "}")
+                        .has_value());
+    }
+    CHECK_FALSE(platform::decode_rollout(
+                    R"({"meta": {"name": "x"}, "spec": {"backend": "s1",
+                "target_version": "v2", "duration_s": 12}})")
+                    .has_value());
+}
+
 // Guards against using an upstream entry with an invalid field, and against an
 // invalid entry that makes the whole page invalid.
 TEST(documents, spoilt_upstreams_are_unreadable)
