--- a/src/app/forward/rollout_control.cpp
+++ b/src/app/forward/rollout_control.cpp
@@ -47,7 +47,6 @@
     hosts_ = snapshot.hosts;
     policy_.update(upstreams_, entries, snapshot.complete);
     update_runs(entries, now);
-    complete_ = complete_ || snapshot.complete;
     published_ = policy_.shares(now);
     published_targets_ = targets();
     snapshot.versions = published_;
@@ -55,12 +54,12 @@
     arm();
 }
 
-// The order was given when this host saw it for the first time, or earlier when
-// it was there before this host.
+// An order that no host has begun is new. The status of another one says when
+// it began, for a host that has started or missed events meanwhile.
 time_point rollout_control::order_time(rollout_entry const& entry,
-                                       time_point now) const
+                                       time_point now)
 {
-    if (complete_ || entry.state() == rollout_state::ordered) {
+    if (entry.state() == rollout_state::ordered) {
         return now;
     }
     auto const age = from_ms(wall_clock_ms() - entry.status.started_ms);
--- a/src/app/forward/rollout_control.hpp
+++ b/src/app/forward/rollout_control.hpp
@@ -61,7 +61,7 @@
 private:
     void update_runs(std::vector<rollout_entry> const& entries, time_point now);
     rollout_run make_run(rollout_entry const& entry, time_point ordered_at);
-    time_point order_time(rollout_entry const& entry, time_point now) const;
+    static time_point order_time(rollout_entry const& entry, time_point now);
     void write(rollout_entry const& entry, std::uint64_t revision,
                rollout_status status);
     void instruct(rollout_instruction const& message);
@@ -86,7 +86,6 @@
     std::map<std::string, std::string> published_targets_;
     boost::asio::steady_timer timer_;
     bool armed_ = false;
-    bool complete_ = false; // the store has listed all entries before
     bool stopped_ = false;
     std::uint64_t reports_sent_ = 0;
     std::uint64_t instructions_sent_ = 0;
--- a/src/core/forward/service_fetch.cpp
+++ b/src/core/forward/service_fetch.cpp
@@ -475,6 +475,9 @@
     for (auto const& it : attempts_) {
         bool const open = it.outcome == attempt_outcome::open;
         out += it.upstream->record.instance;
+        if (options_.shared->versions && !it.upstream->record.version.empty()) {
+            out += '(' + it.upstream->record.version + ')';
+        }
         out += '=';
         out += name_of(attempt_outcome_names, it.outcome);
         out += '@';
--- a/src/core/forward/service_fetch.hpp
+++ b/src/core/forward/service_fetch.hpp
@@ -198,7 +198,8 @@
     bool lost_attempt() const;
     std::uint32_t attempt_count() const { return attempt_count_; }
     std::uint32_t hedges() const { return hedges_; }
-    // Appends the attempts in order, as "instance=outcome@ms".
+    // Appends the attempts in order, as "instance=outcome@ms"; with rollouts
+    // the version follows the instance in parentheses.
     void append_attempts(std::string& out) const;
 
 private:
--- a/src/core/rollouts/version_policy.cpp
+++ b/src/core/rollouts/version_policy.cpp
@@ -117,24 +117,16 @@
     }
     auto const& it = held->second;
     auto const& target = it.value.target_version;
-    if (it.value.state == rollout_state::succeeded) {
+    bool const expired = now >= it.until;
+    if (it.value.state == rollout_state::succeeded ||
+        (!it.rolled_back && !expired && it.value.share >= 1)) {
         out.serving = target;
     }
-    else if (it.rolled_back) {
-        return out;
-    }
-    else if (now >= it.until) {
-        out.has_canary = it.moved;
-        out.fallback = it.moved;
-        out.canary = it.moved ? target : std::string();
-    }
-    else if (it.value.share >= 1) {
-        out.serving = target;
-    }
-    else {
+    else if (!it.rolled_back && (!expired || it.moved)) {
         out.canary = target;
         out.has_canary = true;
-        out.share = it.value.share;
+        out.fallback = expired;
+        out.share = expired ? 0 : it.value.share;
     }
     return out;
 }
