--- a/soak/fleet/test_fleet.hpp
+++ b/soak/fleet/test_fleet.hpp
@@ -35,7 +35,7 @@
     std::size_t shards = 6;
     std::size_t replicas = 2;
     std::string extra_settings; // lines of the settings file of each host
-    std::size_t memory_mb = 0; // of each host; 0: not stated
+    std::size_t memory_mb = 0;  // of each host; 0: not stated
 };
 
 // One host: a process of the program under test.
--- a/src/adapters/codec/host_codec.cpp
+++ b/src/adapters/codec/host_codec.cpp
@@ -106,8 +106,8 @@
     out.number = in.number();
     out.wanted = in.wanted();
     out.as_deputy = in.as_deputy();
-    return out.number != 0 && !in.account().empty() &&
-           !in.host().empty() && read_name(in.account(), out.account) &&
+    return out.number != 0 && !in.account().empty() && !in.host().empty() &&
+           read_name(in.account(), out.account) &&
            read_name(in.host(), out.host);
 }
 
--- a/tests/app/forward/forward_control_era_test.cpp
+++ b/tests/app/forward/forward_control_era_test.cpp
@@ -81,7 +81,8 @@
     forward_metrics metrics;
     control.report(metrics);
     CHECK(metrics.text().find("store_era 1") != std::string::npos);
-    CHECK(metrics.text().find("store_era_changes_total 1") != std::string::npos);
+    CHECK(metrics.text().find("store_era_changes_total 1") !=
+          std::string::npos);
 }
 
 // Guards against a late answer to a call of the older era, and against an
