Derive the lease of a share from the time for a rollback

Cause: hosts obeyed an instruction for 1.5 s whatever roll_back_within was. Change: 0.3 of it, at least 0.6 s and at most 1.5 s.

--- a/src/app/forward/rollout_control.cpp
+++ b/src/app/forward/rollout_control.cpp
@@ -23,6 +23,16 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
+// A host that has missed a rollback stops well within its bound; instructions
+// are repeated each 500 ms.
+duration lease_of(rollout_bounds const& bounds)
+{
+    constexpr double lease_ratio = 0.3;
+    return std::clamp(std::chrono::duration_cast<duration>(
+                          bounds.roll_back_within * lease_ratio),
+                      from_ms(600), version_policy_settings{}.lease);
+}
+
 std::uint64_t random_number()
 {
     std::random_device device;
@@ -32,7 +42,8 @@
 } // namespace
 
 rollout_control::rollout_control(boost::asio::io_context& io, options o)
-    : options_(std::move(o)), incarnation_(random_number()), timer_(io)
+    : options_(std::move(o)), incarnation_(random_number()),
+      policy_({.lease = lease_of(options_.bounds)}), timer_(io)
 {}
 
 void rollout_control::on_snapshot(forward_snapshot& snapshot,
