Use the first number without a name as an unknown cause

Cause: values_out_of_range_are_refused used 32 as a cause that has no name; since accounts added two causes, 32 is unauthorised, and the test failed. Measured: nothing.

--- a/tests/adapters/codec/peer_codec_test.cpp
+++ b/tests/adapters/codec/peer_codec_test.cpp
@@ -212,7 +212,7 @@
 
     wire::SubmitResult result;
     CHECK(!decode_submit_result(result.SerializeAsString()).has_value());
-    result.set_not_run(32);
+    result.set_not_run(errc_names.size());
     CHECK(!decode_submit_result(result.SerializeAsString()).has_value());
 
     wire::Probe probe;
--- a/tests/core/accounts/cap_fleet.hpp
+++ b/tests/core/accounts/cap_fleet.hpp
@@ -45,7 +45,7 @@
 class cap_fleet
 {
 public:
-    explicit cap_fleet(cap_fleet_options o) : o_(o), random_(o.seed)
+    explicit cap_fleet(cap_fleet_options const& o) : o_(o), random_(o.seed)
     {
         for (std::uint32_t i = 0; i < o_.hosts + o_.joining; ++i) {
             hosts_.push_back(std::make_unique<host>());
@@ -186,6 +186,7 @@
     cap_plan plan_of(std::uint32_t i, std::set<std::uint32_t> const& list) const
     {
         std::vector<fleet_host> entries;
+        entries.reserve(list.size());
         for (auto const it : list) {
             entries.push_back(hosts_[it]->entry);
         }
