--- a/src/adapters/forward/upstream_links.cpp
+++ b/src/adapters/forward/upstream_links.cpp
@@ -44,8 +44,9 @@
                                reach_callback on_reach)
     : io_(io), fleet_(fleet), names_(names), settings_(settings),
       now_(std::move(now)), on_reach_(std::move(on_reach)), release_timer_(io),
-      memory_(
-          std::make_shared<receive_budget>(settings_.max_total_answer_bytes))
+      memory_(settings_.memory ? settings_.memory
+                               : std::make_shared<receive_budget>(
+                                     settings_.max_total_answer_bytes))
 {}
 
 upstream_links::~upstream_links()
@@ -297,6 +298,7 @@
                                exchange_result result)
 {
     counters_.late_answers += connection->take_late_answers();
+    counters_.invalid_statuses += connection->take_invalid_statuses();
     reuse_or_reconnect(it, connection, result);
     if (auto* const answer = std::get_if<http_response>(&result)) {
         complete_exchange(id, read_upstream_answer(std::move(*answer), names_));
