--- a/tests/core/accounts/cap_takeover_test.cpp
+++ b/tests/core/accounts/cap_takeover_test.cpp
@@ -93,6 +93,7 @@
     static std::vector<fleet_host> four_hosts()
     {
         std::vector<fleet_host> out;
+        out.reserve(4);
         for (int i = 0; i < 4; ++i) {
             out.push_back({.name = "h" + std::to_string(i),
                            .data_centre = "d" + std::to_string(i % 2),
