Read load reports with a speed and further fields

Cause: read_load dropped a report with more than three fields, so a host saw no load at all of the upstreams that report their speed. Change: a fourth field is the speed (1.0 as usual), further ones are ignored. A speed of 0 is malformed, since work takes some time. Answers with a malformed report are told from those without one.

--- a/src/adapters/forward/forward_headers.hpp
+++ b/src/adapters/forward/forward_headers.hpp
@@ -11,7 +11,8 @@
     std::string time_left;         // ms until the caller's deadline
     std::string stamp;             // upstream's proof that it gave the answer
     std::string expected_instance; // the only instance that may run the request
-    std::string load;              // "running,waiting,slots" of the upstream
+    // "running,waiting,slots" or "running,waiting,slots,speed" of the upstream.
+    std::string load;
     std::string rate_limit; // requests/s that the upstream takes from all hosts
     std::string leaving;    // "1" while the upstream is shutting down
     std::string not_run;    // present when the request was not run
--- a/src/adapters/forward/forward_text.cpp
+++ b/src/adapters/forward/forward_text.cpp
@@ -37,6 +37,9 @@
 // Longer times do not fit into a duration.
 constexpr double max_retry_after_s = 86'400;
 
+// Speed that upstreams report when work takes as long as usual.
+constexpr double usual_speed = 100;
+
 // Reads a finite number that is not negative.
 std::optional<double> read_decimal(std::string_view text)
 {
@@ -210,19 +213,32 @@
 
 std::optional<reported_load> read_load(std::string_view text)
 {
-    reported_load out;
-    std::array<std::uint32_t*, 3> const fields{&out.running, &out.waiting,
-                                               &out.slots};
+    constexpr std::size_t required = 3;
+    std::array<std::uint32_t, 4> fields{};
     auto const* at = text.data();
     auto const* const end = text.data() + text.size();
-    for (std::size_t i = 0; i < fields.size(); ++i) {
-        auto const [next, ec] = std::from_chars(at, end, *fields[i]);
-        bool const last = i + 1 == fields.size();
-        if (ec != std::errc() ||
-            (last ? next != end : next == end || *next != ',')) {
+    std::size_t n = 0;
+    while (n < fields.size()) {
+        auto const [next, ec] = std::from_chars(at, end, fields[n]);
+        if (ec != std::errc() || (next != end && *next != ',')) {
             return std::nullopt;
         }
-        at = next + (last ? 0 : 1);
+        ++n;
+        if (next == end) {
+            break;
+        }
+        at = next + 1;
+    }
+    if (n < required) {
+        return std::nullopt;
+    }
+    reported_load out{
+        .running = fields[0], .waiting = fields[1], .slots = fields[2]};
+    if (n > required) {
+        if (fields[3] == 0) {
+            return std::nullopt; // work that takes no time
+        }
+        out.speed = fields[3] / usual_speed;
     }
     return out;
 }
@@ -230,8 +246,10 @@
 upstream_signals read_signals(unsigned status, header_list const& headers,
                               forward_headers const& names)
 {
+    auto const load = read_load(header_value(headers, names.load));
     upstream_signals out{
-        .load = read_load(header_value(headers, names.load)),
+        .load = load,
+        .malformed_load = !load && has_header(headers, names.load),
         .rate_limit = read_decimal(header_value(headers, names.rate_limit)),
         .leaving = header_value(headers, names.leaving) == "1"};
     if (status == service_unavailable) {
--- a/src/adapters/forward/forward_text.hpp
+++ b/src/adapters/forward/forward_text.hpp
@@ -34,7 +34,8 @@
 upstream_signals read_signals(unsigned status, header_list const& headers,
                               forward_headers const& names);
 
-// Parses "running,waiting,slots". No value when the text has another form.
+// Parses "running,waiting,slots" or "running,waiting,slots,speed"; further
+// fields are ignored. No value when the text has another form.
 std::optional<reported_load> read_load(std::string_view text);
 
 http_response write_caller_answer(caller_answer&& answer,
--- a/src/core/forward/upstream_admission.hpp
+++ b/src/core/forward/upstream_admission.hpp
@@ -2,24 +2,19 @@
 
 #include "core/base/name_table.hpp"
 #include "core/base/time.hpp"
+#include "core/placement/reported_load.hpp"
 
 #include <cstdint>
 #include <optional>
 
 namespace snipemill {
 
-// Load that an upstream reported: requests that run and that wait.
-struct reported_load
-{
-    std::uint32_t running = 0;
-    std::uint32_t waiting = 0;
-    std::uint32_t slots = 0;
-};
-
 // What an upstream says about itself in the headers of an answer.
 struct upstream_signals
 {
     std::optional<reported_load> load;
+    // The answer has a load report of another form.
+    bool malformed_load = false;
     // Requests/s that it takes from all hosts together.
     std::optional<double> rate_limit;
     bool leaving = false; // it is shutting down
