Score upstreams that report a speed by expected finish

Cause: requests that look alike cost very different amounts of work, and the score by latency ratio and queue knows neither the work nor the speed of the machine at the moment. Change: core/placement has the estimate of work by route, account and shard, the prediction of the finish at one upstream, the extra network latency of a data centre and the rule for hedges. upstream_fleet uses them for upstreams that report a speed and for requests whose work is known; the score of all others is unchanged. A hedge is started only where its expected gain is worth its work. Malformed reports are counted (malformed_loads) and logged at most once in 10 s. Evidence: test_core_forward 133 tests, test_core_placement 6 tests and test_adapters_forward 42 tests pass; the tests of the old score are unchanged.

Start hedges at the predicted tail and replace old reports by the usual load

Cause: the first form of the score took replicas without a recent report for idle (old score of 1.6 beside 3 to 5), and the estimate of the work took pauses for work, so hedges came late or not at all. Change: trust in a report decays towards the mean load per slot of the service; an upstream that has reported a speed keeps the new score. The tail of the work is the 90th percentile, followed sample by sample. A hedge starts at the predicted tail, is left out when its expected gain is below half of its work and the wait it causes, and is looked at again at the tail when the bound of 0.4 of the objective came first.

Draw the load of upstreams with old reports and test the faults of upstreams

Change: mean and constant speed return to the usual without reports, reported speeds count as at least 0.8, and the wait has a random part as wide as old reports leave it unknown. Estimates of a route are forgotten when its shards change. Evidence: placement_faults.a_silent_upstream_is_not_given_up, a_lie_about_the_speed_attracts_no_work and many_hosts_do_not_choose_one_replica (52 of 60 hosts) failed before the change.

--- a/src/adapters/forward/forward_text.cpp
+++ b/src/adapters/forward/forward_text.cpp
@@ -166,7 +166,8 @@
                         .method = from.method,
                         .target = from.target,
                         .body = std::move(from.body),
-                        .print = print};
+                        .print = print,
+                        .account = caller.account ? caller.account->name : ""};
     out.text.reserve(256);
     out.text.append(from.method).append(" ").append(from.target);
     out.text.append(" HTTP/1.1\r\n");
--- a/src/adapters/forward/upstream_links.cpp
+++ b/src/adapters/forward/upstream_links.cpp
@@ -15,6 +15,10 @@
 
 namespace {
 
+// Bounds of what is noted of malformed load reports.
+constexpr duration malformed_load_interval = from_ms(10'000);
+constexpr std::size_t max_noted_value = 64; // bytes
+
 // Returns the timeout of a Keep-Alive header such as "timeout=5, max=100" (in
 // seconds), or zero when there is none.
 duration advertised_idle_timeout(http_response const& answer)
@@ -130,16 +134,18 @@
     it->connecting.push_back(connection);
     connection->connect(
         {address, it->to->record.port}, settings_.connect_timeout,
-        [this, alive = alive_, it, weak = std::weak_ptr(connection)](bool ok) {
+        [this, alive = alive_, it, weak = std::weak_ptr(connection),
+         start = now_()](bool ok) {
             auto const open = weak.lock();
             if (*alive && open) {
-                on_connected(it, open, ok);
+                on_connected(it, open, ok, now_() - start);
             }
         });
 }
 
 void upstream_links::on_connected(link_ptr const& it,
-                                  connection_ptr const& connection, bool ok)
+                                  connection_ptr const& connection, bool ok,
+                                  duration elapsed)
 {
     std::erase(it->connecting, connection);
     if (!ok) {
@@ -149,6 +155,7 @@
         return;
     }
     set_reachable(*it, true);
+    fleet_.on_connected(*it->to, elapsed, now_());
     // An idle connection that the upstream closes is replaced when a request
     // needs one. A reconnect is scheduled only for the last idle connection.
     connection->on_closed([this, alive = alive_, weak = std::weak_ptr(it),
@@ -301,7 +308,9 @@
     counters_.invalid_statuses += connection->take_invalid_statuses();
     reuse_or_reconnect(it, connection, result);
     if (auto* const answer = std::get_if<http_response>(&result)) {
-        complete_exchange(id, read_upstream_answer(std::move(*answer), names_));
+        auto out = read_upstream_answer(std::move(*answer), names_);
+        note_malformed_load(*it->to, out);
+        complete_exchange(id, std::move(out));
     }
     else if (!std::get<exchange_failed>(result).sent) {
         complete_exchange(id, exchange_not_sent{});
@@ -315,6 +324,29 @@
     erase_if_unused(it);
 }
 
+void upstream_links::note_malformed_load(upstream_view const& from,
+                                         upstream_answer const& answer)
+{
+    if (!answer.signals.malformed_load) {
+        return;
+    }
+    ++counters_.malformed_loads;
+    auto const now = now_();
+    if (!on_malformed_load_ ||
+        (malformed_load_noted_at_ &&
+         now - *malformed_load_noted_at_ < malformed_load_interval)) {
+        return;
+    }
+    malformed_load_noted_at_ = now;
+    for (auto const& [name, value] : answer.headers) {
+        if (name == names_.load) {
+            on_malformed_load_(
+                from, std::string_view(value).substr(0, max_noted_value));
+            return;
+        }
+    }
+}
+
 // Uses the connection of an ended exchange for the next waiting one, adds the
 // connection to the idle ones, or schedules a reconnect when it is closed.
 void upstream_links::reuse_or_reconnect(link_ptr const& it,
--- a/src/adapters/forward/upstream_links.hpp
+++ b/src/adapters/forward/upstream_links.hpp
@@ -15,7 +15,9 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace snipemill {
@@ -60,6 +62,7 @@
     std::uint64_t retry_connects = 0;
     // Responses whose status is neither interim nor final.
     std::uint64_t invalid_statuses = 0;
+    std::uint64_t malformed_loads = 0; // reports that could not be read
 };
 
 // HTTP connections to upstreams. Preconnects to each upstream that may be used,
@@ -90,6 +93,14 @@
                      time_point deadline,
                      std::function<void(exchange_outcome)> f) override;
     void release(exchange_id id, time_point close_at) override;
+    // Sets what is called with the start of a load report that could not be
+    // read: at most once in 10 s, since a faulty upstream repeats it in each
+    // answer.
+    void on_malformed_load(
+        std::function<void(upstream_view const&, std::string_view)> f)
+    {
+        on_malformed_load_ = std::move(f);
+    }
 
     std::size_t open_exchanges() const { return exchanges_.size(); }
     link_counters const& counters() const { return counters_; }
@@ -139,7 +150,7 @@
     link_ptr const& link_of(upstream_ptr const& to);
     void connect(link_ptr const& it);
     void on_connected(link_ptr const& it, connection_ptr const& connection,
-                      bool ok);
+                      bool ok, duration elapsed);
     void on_connect_failed(link_ptr const& it);
     void schedule_reconnect(link_ptr const& it);
     void reconnect(link_ptr const& it);
@@ -161,6 +172,8 @@
     void on_release_timer();
     void set_reachable(upstream_link& it, bool reachable);
     void erase_if_unused(link_ptr const& it);
+    void note_malformed_load(upstream_view const& from,
+                             upstream_answer const& answer);
 
     boost::asio::io_context& io_;
     upstream_fleet& fleet_;
@@ -168,6 +181,9 @@
     upstream_links_settings settings_;
     std::function<time_point()> now_;
     reach_callback on_reach_;
+    std::function<void(upstream_view const&, std::string_view)>
+        on_malformed_load_;
+    std::optional<time_point> malformed_load_noted_at_;
     std::unordered_map<upstream_view const*, link_ptr> links_;
     std::unordered_map<exchange_id, exchange> exchanges_;
     std::multimap<time_point, exchange_id> releases_;
--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -7,6 +7,7 @@
 #include "core/base/overloaded.hpp"
 #include "core/forward/cut_off.hpp"
 #include "core/forward/request_fingerprint.hpp"
+#include "core/forward/shard_changes.hpp"
 
 #include <algorithm>
 #include <charconv>
@@ -130,6 +131,12 @@
                                           .tolerance = *settings.usage_caps,
                                           .metrics = &metrics});
     }
+    links_.on_malformed_load(
+        [](upstream_view const& it, std::string_view value) {
+            log_info("malformed_load", {{"instance", it.record.instance},
+                                        {"service", it.record.service},
+                                        {"value", value}});
+        });
     if (settings.relay) {
         relay_service_.emplace(
             io, *settings.relay, runs_,
@@ -147,9 +154,15 @@
     bool const new_manifest =
         snapshot->current &&
         (!snapshot_ || snapshot_->current != snapshot->current);
-    snapshot_ = std::move(snapshot);
+    auto const former = std::exchange(snapshot_, std::move(snapshot));
     if (new_manifest) {
         auto const& state = *snapshot_->current->state;
+        if (former && former->current) {
+            for (auto const& it :
+                 routes_with_other_shards(*former->current->state, state)) {
+                shared_.costs.forget(it);
+            }
+        }
         fleet_.set_services(state.services);
         callers_.set_limits(state.limits.max_header, state.limits.max_body,
                             state.limits.header_timeout,
--- a/src/app/forward/forward_traffic_report.cpp
+++ b/src/app/forward/forward_traffic_report.cpp
@@ -55,6 +55,7 @@
     metrics_.set_counter("upstream_late_answers", links.late_answers);
     metrics_.set_counter("upstream_invalid_statuses", links.invalid_statuses);
     metrics_.set_counter("upstream_retry_connects", links.retry_connects);
+    metrics_.set_counter("malformed_loads", links.malformed_loads);
     metrics_.set_counter("upstream_answers_over_memory",
                          links_.answers_over_memory());
     metrics_.set_counter("hedges", shared_.hedges);
--- a/src/core/forward/exchange.hpp
+++ b/src/core/forward/exchange.hpp
@@ -49,7 +49,8 @@
     std::string target;
     std::string text; // request line and headers common to all upstreams
     std::string body;
-    fingerprint print; // of the request_identity
+    fingerprint print;   // of the request_identity
+    std::string account; // name of the caller's account; may be empty
 };
 
 using exchange_id = std::uint64_t;
--- a/src/core/forward/service_fetch.cpp
+++ b/src/core/forward/service_fetch.cpp
@@ -143,6 +143,7 @@
 void service_fetch::start()
 {
     auto const now = options_.shared->now();
+    estimate_cost();
     choice_failure why = choice_failure::none_usable;
     auto const upstream = choose(now, why);
     if (!upstream) {
@@ -156,7 +157,8 @@
     schedule_hedge(now);
 }
 
-upstream_ptr service_fetch::choose(time_point now, choice_failure& why)
+upstream_ptr service_fetch::choose(time_point now, choice_failure& why,
+                                   std::optional<double> latest_finish)
 {
     auto const usual = options_.shared->latencies[options_.route->name].mean();
     return options_.shared->fleet.choose(
@@ -165,7 +167,9 @@
          .suspect = options_.suspect,
          .objective = options_.route->objective,
          .usual = usual,
-         .now = now},
+         .now = now,
+         .cost = &cost_,
+         .latest_finish = latest_finish},
         why);
 }
 
@@ -175,7 +179,9 @@
     excluded_.push_back(upstream);
     ++attempt_count_;
     ++possible_runs_;
-    upstream->sent(now);
+    auto const predicted =
+        options_.shared->fleet.predict(*upstream, cost_, now);
+    upstream->sent(now, predicted);
     upstream->open_suspects += options_.suspect ? 1 : 0;
     if (options_.query) {
         ++options_.query->open;
@@ -185,7 +191,8 @@
                                            options_.route->name,
                                            upstream->record.version);
     }
-    attempts_.push_back({.upstream = upstream, .start = now});
+    attempts_.push_back(
+        {.upstream = upstream, .start = now, .predicted = predicted});
     auto const& route =
         *options_.shared->latencies.try_emplace(options_.route->name).first;
     attempts_[n].id = options_.shared->exchanges.send(
@@ -210,25 +217,6 @@
         });
 }
 
-void service_fetch::schedule_hedge(time_point now)
-{
-    if (!idempotent() || options_.attempts < 2) {
-        return;
-    }
-    auto const& settings = options_.shared->settings;
-    auto const objective = options_.route->objective;
-    auto const of_objective = [objective](double share) {
-        return std::chrono::duration_cast<duration>(objective * share);
-    };
-    auto const& latency = options_.shared->latencies[options_.route->name];
-    auto const delay = std::clamp(
-        latency.hedge_delay(of_objective(settings.default_hedge_share)),
-        settings.min_hedge_delay,
-        std::max(settings.min_hedge_delay,
-                 of_objective(settings.max_hedge_share)));
-    hedge_at_ = now + delay;
-}
-
 std::optional<time_point> service_fetch::next_timer() const
 {
     if (done()) {
@@ -266,18 +254,7 @@
         }
     }
     if (hedge_at_ && now >= *hedge_at_) {
-        hedge_at_.reset();
-        for (auto& it : attempts_) {
-            if (it.open && !it.unresponsive_reported) {
-                it.unresponsive_reported = true;
-                options_.shared->fleet.mark_unresponsive(*it.upstream);
-            }
-        }
-        bool const allowed =
-            !options_.remaining_hedges || *options_.remaining_hedges > 0;
-        if (allowed && may_start_extra_attempt(now) && open_attempts() > 0) {
-            start_extra_attempt(retry_budget::attempt_kind::hedge, now);
-        }
+        on_hedge_timer(now);
     }
 }
 
@@ -317,7 +294,9 @@
         return;
     }
     choice_failure why = choice_failure::none_usable;
-    auto const upstream = choose(now, why);
+    bool const hedge = kind == retry_budget::attempt_kind::hedge;
+    auto const upstream =
+        choose(now, why, hedge ? latest_hedge_finish(now) : std::nullopt);
     if (!upstream) {
         return;
     }
@@ -326,7 +305,7 @@
         ++options_.shared->budget_refusals;
         return;
     }
-    if (kind == retry_budget::attempt_kind::hedge) {
+    if (hedge) {
         ++hedges_;
         ++options_.shared->hedges;
         if (options_.remaining_hedges) {
@@ -436,6 +415,9 @@
     auto const elapsed = now - it.start;
     auto const relative = relative_latency(latency, elapsed);
     latency.add(elapsed);
+    if (auto const work = it.upstream->work_of(it.start, now)) {
+        options_.shared->costs.add(key(), *work);
+    }
     it.upstream->answered(it.start, now, relative);
     finish(std::move(answer));
 }
--- a/src/core/forward/service_fetch.hpp
+++ b/src/core/forward/service_fetch.hpp
@@ -56,6 +56,7 @@
     double retry_slack = 0; // of the fleet; 0: use the configured floor
     std::unordered_map<std::string, retry_budget> budgets;    // by service
     std::unordered_map<std::string, route_latency> latencies; // by route
+    cost_estimate costs;
     crash_guard crashes{crash_guard_options{}};
     std::function<time_point()> now;
     version_counters* versions = nullptr; // null: not counted
@@ -212,9 +213,16 @@
         bool unresponsive_reported = false;
         attempt_outcome outcome = attempt_outcome::open;
         duration elapsed{};
+        finish_prediction predicted;
     };
 
-    upstream_ptr choose(time_point now, choice_failure& why);
+    upstream_ptr choose(time_point now, choice_failure& why,
+                        std::optional<double> latest_finish = {});
+    cost_key key() const;
+    void estimate_cost();
+    // Latest expected finish of a hedge that is worth its work; none when the
+    // open attempts have no prediction.
+    std::optional<double> latest_hedge_finish(time_point now) const;
     void start_attempt(upstream_ptr const& upstream, time_point now);
     void start_extra_attempt(retry_budget::attempt_kind kind, time_point now);
     void on_outcome(std::size_t attempt, exchange_outcome outcome);
@@ -228,6 +236,7 @@
     bool held() const;
     void end_attempt(attempt& it);
     void schedule_hedge(time_point now);
+    void on_hedge_timer(time_point now);
     void finish(fetch_result result);
     std::size_t open_attempts() const;
     bool idempotent() const
@@ -238,6 +247,7 @@
     options options_;
     std::vector<attempt> attempts_;
     std::vector<upstream_ptr> excluded_;
+    request_cost cost_; // zero while no upstream reports its speed
     std::optional<fetch_result> result_;
     // Of the last failed attempt. A refusal does not replace `failed` or
     // `lost`, and an attempt that was not sent changes nothing.
--- a/src/core/forward/upstream_fleet.cpp
+++ b/src/core/forward/upstream_fleet.cpp
@@ -12,14 +12,6 @@
 
 namespace {
 
-// Latency of a cold upstream over that of a warm one.
-constexpr double cold_latency_factor = 1.6;
-
-// Added to the score of an upstream that is suspected to be unreachable, and
-// for a suspect request to that of one which runs another suspect. Above every
-// score that does not contain the penalty.
-constexpr double suspect_penalty = 1000;
-
 // Part of an upstream's connections, and of its stated limit, that relays may
 // use; the rest is for direct runs of hosts that reach no relay.
 constexpr double relay_ratio = 0.8;
@@ -28,17 +20,6 @@
 // store makes entries lapse; running upstreams register again after it.
 constexpr duration departed_lifetime = from_ms(120'000);
 
-// Random addition to a score, which spreads requests over replicas whose scores
-// differ by less.
-constexpr double score_jitter = 0.1;
-
-// Highest addition to the score of an upstream in another data centre: a near
-// upstream that is slower by this many usual latencies is in trouble.
-constexpr double max_remote_penalty = 3;
-
-// Usual latencies below this are those of the host itself.
-constexpr double min_usual_ms = 1;
-
 // Whether two records describe the same start of the same upstream.
 bool same_lifetime(upstream_record const& a, upstream_record const& b)
 {
@@ -134,6 +115,9 @@
 {
     auto const change =
         it.admission.on_answer(signals, sent, now, senders(it.record.service));
+    if (signals.load) {
+        learn_load(it, *signals.load, now);
+    }
     if (change != admission_change::none && on_admission_) {
         on_admission_(it, change);
     }
@@ -219,39 +203,6 @@
                       settings_.max_connections);
 }
 
-double upstream_fleet::remote_penalty(choice_request const& request) const
-{
-    if (request.usual <= duration::zero()) {
-        return settings_.remote_penalty;
-    }
-    auto const room = settings_.local_share * to_ms(request.objective) /
-                          std::max(min_usual_ms, to_ms(request.usual)) -
-                      1;
-    return std::clamp(room, settings_.remote_penalty, max_remote_penalty);
-}
-
-double upstream_fleet::score(upstream_view const& it,
-                             choice_request const& request) const
-{
-    auto const now = request.now;
-    auto const slots = std::max(1U, it.record.slots);
-    auto const waiting =
-        std::max<double>(it.in_flight(), it.admission.reported_waiting(now));
-    auto out = it.latency_ratio(now) * (1 + waiting / slots);
-    if (it.cold(now)) {
-        out *= cold_latency_factor;
-    }
-    if (it.record.data_centre != settings_.data_centre) {
-        out += remote_penalty(request);
-    }
-    out += settings_.failure_penalty * it.failure_rate(now);
-    if (it.unresponsive_for(now) > settings_.suspect_after ||
-        suspected(it.record.data_centre)) {
-        out += suspect_penalty;
-    }
-    return out;
-}
-
 sender_group upstream_fleet::senders(std::string const& service) const
 {
     if (!uses_relays(service)) {
@@ -295,6 +246,7 @@
                                      Matches matches, choice_failure& why)
 {
     upstream_ptr best;
+    auto const usual = entry.load.per_slot(request.now);
     auto best_score = std::numeric_limits<double>::max();
     for (auto const& it : entry.replicas) {
         if (!matches(*it) || !in_service(*it) ||
@@ -306,13 +258,10 @@
             why = choice_failure::saturated;
             continue;
         }
-        auto value = score(*it, request) + score_jitter * random_.unit();
-        if (request.suspect && it->open_suspects > 0) {
-            value += suspect_penalty;
-        }
-        if (value < best_score) {
+        auto const value = draw_score(*it, request, usual);
+        if (value && *value < best_score) {
             best = it;
-            best_score = value;
+            best_score = *value;
         }
     }
     return best;
--- a/src/core/forward/upstream_fleet.hpp
+++ b/src/core/forward/upstream_fleet.hpp
@@ -3,6 +3,8 @@
 #include "core/base/rng.hpp"
 #include "core/forward/manifest.hpp"
 #include "core/forward/upstream_view.hpp"
+#include "core/placement/network_latency.hpp"
+#include "core/placement/usual_load.hpp"
 #include "core/rollouts/version_share.hpp"
 
 #include <cstdint>
@@ -71,6 +73,12 @@
     duration objective{};
     duration usual{};
     time_point now{};
+    // Of the request; upstreams that report their speed are then scored by
+    // expected finish. May be null.
+    request_cost const* cost = nullptr;
+    // Leaves out upstreams that are expected to finish later than in this many
+    // ms, when it is set.
+    std::optional<double> latest_finish;
 };
 
 enum class choice_failure : std::uint8_t
@@ -121,6 +129,15 @@
     // An answer to a request that was sent at `sent` has arrived.
     void on_answer(upstream_view& it, upstream_signals const& signals,
                    time_point sent, time_point now);
+    // A connection was set up in `elapsed`.
+    void on_connected(upstream_view const& it, duration elapsed,
+                      time_point now);
+    // Whether an upstream has reported its speed since this host started.
+    bool speeds_reported() const { return speeds_reported_; }
+    // When the request would finish at the upstream; `mean` is 0 when it is not
+    // known.
+    finish_prediction predict(upstream_view const& it, request_cost const& cost,
+                              time_point now) const;
     // Time until the service has room for a request, if its upstreams stay
     // reachable; none if it has no usable upstream.
     std::optional<duration> time_to_room(std::string const& service,
@@ -151,6 +168,7 @@
     {
         upstream_service service;
         std::vector<upstream_ptr> replicas;
+        usual_load load;
     };
     // What is kept of an upstream that left the list: its entry may only have
     // lapsed while the store was unavailable.
@@ -179,6 +197,18 @@
     // the usual latency. Load pattern: objectives that leave room. A request is
     // sent elsewhere only when a near upstream would endanger its objective.
     double remote_penalty(choice_request const& request) const;
+    // The same for an upstream that reports its speed, from its predicted
+    // finish. The unit of both is the usual latency.
+    double finish_score(upstream_view const& it, choice_request const& request,
+                        finish_prediction const& predicted) const;
+    // Score with the random part; none for a hedge that is not worth its work.
+    std::optional<double> draw_score(upstream_view const& it,
+                                     choice_request const& request,
+                                     double usual_per_slot);
+    finish_prediction predict(upstream_view const& it, request_cost const& cost,
+                              double usual_per_slot, time_point now) const;
+    void learn_load(upstream_view& it, reported_load const& load,
+                    time_point now);
     sender_group senders(std::string const& service) const;
     // Earliest time at which this host may send to the upstream.
     time_point next_send(service_entry const& entry, upstream_view const& it,
@@ -205,6 +235,8 @@
     upstream_fleet_settings settings_;
     fleet_sharing sharing_;
     rng random_;
+    network_latency network_;
+    bool speeds_reported_ = false;
     std::function<void(upstream_view const&, admission_change)> on_admission_;
     version_shares versions_;
     std::vector<upstream_ptr> all_;
--- a/src/core/forward/upstream_view.cpp
+++ b/src/core/forward/upstream_view.cpp
@@ -31,23 +31,40 @@
     : record(std::move(r)), cold_until(now + record.cold_left)
 {}
 
-void upstream_view::sent(time_point now)
+void upstream_view::sent(time_point now, finish_prediction const& predicted)
 {
-    pending_.push_back(now);
+    pending_.push_back({.start = now, .predicted = predicted});
 }
 
-void upstream_view::remove(time_point start)
+std::vector<upstream_view::open_request>::const_iterator
+upstream_view::find(time_point start) const
 {
-    auto const it = std::find(pending_.begin(), pending_.end(), start);
+    auto const it = std::find_if(
+        pending_.begin(), pending_.end(),
+        [start](open_request const& open) { return open.start == start; });
     assert(it != pending_.end());
+    return it;
+}
+
+finish_prediction upstream_view::remove(time_point start)
+{
+    auto const it = pending_.begin() + (find(start) - pending_.cbegin());
+    auto const out = it->predicted;
     *it = pending_.back();
     pending_.pop_back();
+    return out;
+}
+
+std::optional<double> upstream_view::work_of(time_point start,
+                                             time_point now) const
+{
+    return placement.work_of(find(start)->predicted, now - start);
 }
 
 void upstream_view::answered(time_point start, time_point now,
                              double relative_latency)
 {
-    remove(start);
+    placement.on_ended(remove(start), now - start, true, now);
     last_response_at_ = now;
     add_latency(relative_latency, now);
     add_outcome(0, now);
@@ -56,7 +73,7 @@
 void upstream_view::timed_out(time_point start, time_point now,
                               double relative_latency)
 {
-    remove(start);
+    placement.on_ended(remove(start), now - start, false, now);
     add_latency(relative_latency, now);
 }
 
@@ -96,10 +113,24 @@
     if (pending_.empty()) {
         return duration::zero();
     }
-    auto const oldest = *std::min_element(pending_.begin(), pending_.end());
+    auto const oldest =
+        std::min_element(pending_.begin(), pending_.end(),
+                         [](open_request const& a, open_request const& b) {
+                             return a.start < b.start;
+                         })
+            ->start;
     return now - std::max(oldest, last_response_at_);
 }
 
+bool upstream_view::overdue(time_point now) const
+{
+    return std::any_of(
+        pending_.begin(), pending_.end(), [&](open_request const& it) {
+            return to_ms(now - std::max(it.start, last_response_at_)) >
+                   it.predicted.tail;
+        });
+}
+
 double upstream_view::latency_ratio(time_point now) const
 {
     return 1 + (latency_ratio_ - 1) * decay(now - latency_ratio_at_);
--- a/src/core/forward/upstream_view.hpp
+++ b/src/core/forward/upstream_view.hpp
@@ -2,10 +2,12 @@
 
 #include "core/forward/upstream_admission.hpp"
 #include "core/forward/upstream_record.hpp"
+#include "core/placement/expected_finish.hpp"
 #include "core/rollouts/version_share.hpp"
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace snipemill {
@@ -39,10 +41,11 @@
     std::uint32_t open_suspects = 0;
     time_point cold_until{};
     upstream_admission admission;
+    expected_finish placement;
 
     // Whether the upstream is shutting down, by its entry or by its answers.
     bool leaving() const { return record.draining || admission.leaving(); }
-    void sent(time_point now);
+    void sent(time_point now, finish_prediction const& predicted = {});
     // The exchange that began at `start` ended with an answer. relative_latency
     // is its duration divided by the mean latency of its route.
     void answered(time_point start, time_point now, double relative_latency);
@@ -62,6 +65,12 @@
     }
     // Time without a response while a request is open.
     duration unresponsive_for(time_point now) const;
+    // Whether an open request has waited for a response for longer than its
+    // predicted tail, or is open without a prediction.
+    bool overdue(time_point now) const;
+    // Work in ms of the request sent at `start`, whose answer has just arrived;
+    // see expected_finish.
+    std::optional<double> work_of(time_point start, time_point now) const;
     // Moving average of the relative latency; decays to 1, so that a slow
     // upstream is tried again.
     double latency_ratio(time_point now) const;
@@ -70,12 +79,19 @@
     bool cold(time_point now) const { return now < cold_until; }
 
 private:
-    void remove(time_point start);
+    struct open_request
+    {
+        time_point start{};
+        finish_prediction predicted;
+    };
+
+    std::vector<open_request>::const_iterator find(time_point start) const;
+    finish_prediction remove(time_point start);
     void add_latency(double relative, time_point now);
     void add_outcome(double failure, time_point now);
 
-    std::vector<time_point> pending_; // starts of open exchanges
-    time_point last_response_at_{};   // last answer or connection
+    std::vector<open_request> pending_; // open exchanges
+    time_point last_response_at_{};     // last answer or connection
     double latency_ratio_ = 1;
     time_point latency_ratio_at_{};
     double failure_rate_ = 0;
--- a/tests/adapters/forward/upstream_links_test.cpp
+++ b/tests/adapters/forward/upstream_links_test.cpp
@@ -113,6 +113,31 @@
     UNSIGNED_LONGS_EQUAL(1, server.peers.size());
 }
 
+// An upstream sends spoilt load reports. Guards against reports that are lost
+// without a trace, and against a log line for each answer.
+TEST(upstream_links, counts_malformed_loads_and_notes_few)
+{
+    start();
+    std::vector<std::string> noted;
+    links->on_malformed_load(
+        [&](upstream_view const& it, std::string_view value) {
+            noted.push_back(it.record.instance + " " + std::string(value));
+        });
+    for (std::size_t i = 0; i < 3; ++i) {
+        auto const id = std::to_string(i);
+        send(id);
+        CHECK(wait_request(id));
+        server.peers[0]->send("HTTP/1.1 200 OK\r\nx-id: " + id +
+                              "\r\nx-proof: p\r\nx-load: 1,2," +
+                              std::string(100, 'z') +
+                              "\r\nContent-Length: 0\r\n\r\n");
+        CHECK(wait_outcomes(i + 1));
+    }
+    UNSIGNED_LONGS_EQUAL(3, links->counters().malformed_loads);
+    UNSIGNED_LONGS_EQUAL(1, noted.size());
+    STRCMP_EQUAL(("i-1 1,2," + std::string(60, 'z')).c_str(), noted[0].c_str());
+}
+
 // Guards against passing on a late answer to an earlier request as the answer
 // to the current one on the same connection.
 TEST(upstream_links, skips_an_answer_to_another_request)
--- a/tests/core/forward/service_fetch_test.cpp
+++ b/tests/core/forward/service_fetch_test.cpp
@@ -188,3 +188,74 @@
         UNSIGNED_LONGS_EQUAL(200, run.status());
     }
 }
+
+// Upstreams that report their speed.
+TEST_GROUP(fetch_with_speeds)
+{
+    forward_fixture f;
+
+    // Answers one request on each replica, which makes their work known.
+    void teach(duration latency, int n)
+    {
+        for (int i = 0; i < n; ++i) {
+            for (auto const* const excluded : {"a0", "b0"}) {
+                f.upstream(excluded)->address_reused = true;
+                run_driver run(f, f.single_route(idempotency::idempotent));
+                f.now += latency;
+                answer(f.exchanges.all.size() - 1, 0, 1);
+                f.upstream(excluded)->address_reused = false;
+                f.now += from_ms(100);
+            }
+        }
+        f.exchanges.all.clear();
+    }
+    void answer(std::size_t n, std::uint32_t waiting, double speed)
+    {
+        auto it = good_answer();
+        it.signals.load = {
+            .running = 0, .waiting = waiting, .slots = 2, .speed = speed};
+        f.exchanges.end(n, std::move(it));
+    }
+};
+
+// Guards against a hedge that takes as long as the request has left, which only
+// adds work.
+TEST(fetch_with_speeds, no_hedge_goes_to_an_upstream_that_would_end_later)
+{
+    teach(from_ms(20), 20);
+    f.fleet.on_answer(*f.upstream("b0"),
+                      {.load = reported_load{.running = 2,
+                                             .waiting = 40,
+                                             .slots = 2,
+                                             .speed = 2.5}},
+                      f.now, f.now);
+    run_driver run(f, f.single_route(idempotency::idempotent));
+    STRCMP_EQUAL("a0", f.exchanges.instance(0).c_str());
+    run.pass(from_ms(90));
+    UNSIGNED_LONGS_EQUAL(1, f.exchanges.all.size());
+}
+
+// Guards against no hedge at all when the upstream pauses and another one is
+// free, and against one before the usual time has passed.
+TEST(fetch_with_speeds, a_hedge_starts_at_the_predicted_tail)
+{
+    teach(from_ms(20), 20);
+    run_driver run(f, f.single_route(idempotency::idempotent));
+    STRCMP_EQUAL("a0", f.exchanges.instance(0).c_str());
+    run.pass(from_ms(20));
+    UNSIGNED_LONGS_EQUAL(1, f.exchanges.all.size());
+    run.pass(from_ms(40));
+    UNSIGNED_LONGS_EQUAL(2, f.exchanges.all.size());
+    STRCMP_EQUAL("b0", f.exchanges.instance(1).c_str());
+}
+
+// Guards against suspecting an upstream because its request takes long: 30 ms
+// are no sign of a fault where the work is 200 ms.
+TEST(fetch_with_speeds, a_long_request_makes_no_suspect)
+{
+    teach(from_ms(200), 20);
+    run_driver first(f, f.single_route(idempotency::idempotent));
+    f.now += from_ms(60);
+    run_driver second(f, f.single_route(idempotency::idempotent));
+    STRCMP_EQUAL("a0", f.exchanges.instance(1).c_str());
+}
