Show late answers and what was expected of them in the request log

Cause: a request that missed its objective because of one slow upstream, without a retry or hedge, left no trace of the upstream in its log line. Lines of upstreams without a speed are as before.

--- a/src/core/forward/request_run.cpp
+++ b/src/core/forward/request_run.cpp
@@ -407,7 +407,7 @@
 {
     std::size_t n = 0;
     for (auto const& it : fetches_) {
-        if ((it->attempt_count() > 1 || !answer_of(*it)) &&
+        if ((it->attempt_count() > 1 || !answer_of(*it) || it->late()) &&
             n < max_logged_fetches) {
             it->append_attempts(out);
             ++n;
--- a/src/core/forward/service_fetch.cpp
+++ b/src/core/forward/service_fetch.cpp
@@ -451,6 +451,16 @@
         [](attempt const& it) { return it.outcome == attempt_outcome::lost; });
 }
 
+bool service_fetch::late() const
+{
+    return std::any_of(attempts_.begin(), attempts_.end(),
+                       [](attempt const& it) {
+                           return it.outcome == attempt_outcome::answered &&
+                                  it.predicted.tail > 0 &&
+                                  to_ms(it.elapsed) > it.predicted.tail;
+                       });
+}
+
 void service_fetch::append_attempts(std::string& out) const
 {
     auto const now = options_.shared->now();
@@ -465,6 +475,10 @@
         out += '@';
         out += std::to_string(
             static_cast<int>(to_ms(open ? now - it.start : it.elapsed)));
+        if (it.predicted.mean > 0) {
+            out += '~';
+            out += std::to_string(static_cast<int>(it.predicted.mean));
+        }
         out += ' ';
     }
 }
--- a/src/core/forward/service_fetch.hpp
+++ b/src/core/forward/service_fetch.hpp
@@ -199,8 +199,11 @@
     bool lost_attempt() const;
     std::uint32_t attempt_count() const { return attempt_count_; }
     std::uint32_t hedges() const { return hedges_; }
-    // Appends the attempts in order, as "instance=outcome@ms"; with rollouts
-    // the version follows the instance in parentheses.
+    // Whether an upstream answered later than its predicted tail.
+    bool late() const;
+    // Appends the attempts in order, as "instance=outcome@ms", followed by
+    // "~ms" where a finish was predicted; with rollouts the version follows the
+    // instance in parentheses.
     void append_attempts(std::string& out) const;
 
 private:
--- a/src/core/forward/upstream_fleet_score.cpp
+++ b/src/core/forward/upstream_fleet_score.cpp
@@ -27,7 +27,7 @@
 // Usual latencies below this are those of the host itself.
 constexpr double min_usual_ms = 1;
 
-// The same for scores by expected finish. Hosts which act on the same report
+// Random addition to a score by expected finish. Hosts which know the same load
 // choose replicas that differ by less than this part of a usual latency.
 constexpr double finish_jitter = 0.1;
 
--- a/tests/core/forward/service_fetch_test.cpp
+++ b/tests/core/forward/service_fetch_test.cpp
@@ -249,6 +249,21 @@
     STRCMP_EQUAL("b0", f.exchanges.instance(1).c_str());
 }
 
+// Guards against a slow answer of which the log line does not tell the upstream
+// and what was expected of it.
+TEST(fetch_with_speeds, a_late_answer_is_in_the_summary)
+{
+    teach(from_ms(20), 20);
+    run_driver usual(f, f.single_route(idempotency::at_most_once));
+    f.now += from_ms(20);
+    answer(0, 0, 1);
+    STRCMP_EQUAL("", usual.run->summary().attempts.c_str());
+    run_driver late(f, f.single_route(idempotency::at_most_once));
+    f.now += from_ms(90);
+    answer(1, 0, 1);
+    STRCMP_CONTAINS("a0=answered@90~2", late.run->summary().attempts.c_str());
+}
+
 // Guards against suspecting an upstream because its request takes long: 30 ms
 // are no sign of a fault where the work is 200 ms.
 TEST(fetch_with_speeds, a_long_request_makes_no_suspect)
