--- a/tests/core/placement/load_simulation.cpp
+++ b/tests/core/placement/load_simulation.cpp
@@ -171,7 +171,7 @@
         }
     }
     void send(bool remote, std::string const& instance, double work,
-              std::function<void(exchange_outcome)> f)
+              std::function<void(exchange_outcome)> const& f)
     {
         auto const way = remote ? remote_way : local_way;
         ++sends;
--- a/tests/core/placement/placement_faults_test.cpp
+++ b/tests/core/placement/placement_faults_test.cpp
@@ -208,6 +208,7 @@
     constexpr int hosts = 60;
     constexpr int replicas = 10;
     std::vector<upstream_record> list;
+    list.reserve(replicas);
     for (int i = 0; i < replicas; ++i) {
         list.push_back({.instance = "u" + std::to_string(i),
                         .service = service,
