Expect no listing of rollouts in the test of eras

Cause: the test expects a listing of every kind, and rollouts are followed only with their setting. Change: the test expects exactly none of them, and one of each other kind. Evidence: test_app_forward before the change: 1 of 49 tests fails, with 0 listings of rollouts.

--- a/tests/app/forward/forward_control_era_test.cpp
+++ b/tests/app/forward/forward_control_era_test.cpp
@@ -65,8 +65,11 @@
     store.list_counts.clear();
     restore();
     for (auto const& [kind, name] : store_kind_names) {
-        LONGS_EQUAL(1, store.list_counts[kind]);
-        CHECK(store.list_ages[kind] == read_age::current);
+        // This host carries out no rollouts and never lists them.
+        bool const followed = kind != store_kind::rollouts;
+        LONGS_EQUAL(followed ? 1 : 0, store.list_counts[kind]);
+        CHECK_EQUAL(followed, store.list_ages.contains(kind) &&
+                                  store.list_ages[kind] == read_age::current);
     }
     list(store_kind::evacuations,
          {{.name = "dc", .value = evacuation_entry{}}});
@@ -81,7 +84,8 @@
     forward_metrics metrics;
     control.report(metrics);
     CHECK(metrics.text().find("store_era 1") != std::string::npos);
-    CHECK(metrics.text().find("store_era_changes_total 1") != std::string::npos);
+    CHECK(metrics.text().find("store_era_changes_total 1") !=
+          std::string::npos);
 }
 
 // Guards against a late answer to a call of the older era, and against an
