--- a/tests/core/placement/load_simulation.cpp
+++ b/tests/core/placement/load_simulation.cpp
@@ -230,7 +230,7 @@
                      std::function<void(exchange_outcome)> f) override
     {
         net_.send(to->record.data_centre != fleet.settings().data_centre,
-                  to->record.instance, std::stod(request->body), std::move(f));
+                  to->record.instance, std::stod(request->body), f);
         return ++last_id_;
     }
     void release(exchange_id, time_point) override {}
