--- a/tests/app/forward/forward_control_era_test.cpp
+++ b/tests/app/forward/forward_control_era_test.cpp
@@ -65,8 +65,10 @@
     store.list_counts.clear();
     restore();
     for (auto const& [kind, name] : store_kind_names) {
-        LONGS_EQUAL(1, store.list_counts[kind]);
-        CHECK(store.list_ages[kind] == read_age::current);
+        // The settings have no rollouts, so nothing asks for their kind.
+        bool const followed = kind != store_kind::rollouts;
+        LONGS_EQUAL(followed ? 1 : 0, store.list_counts[kind]);
+        CHECK(!followed || store.list_ages[kind] == read_age::current);
     }
     list(store_kind::evacuations,
          {{.name = "dc", .value = evacuation_entry{}}});
