Count all attempts of a relay that may have run a query

Change: the attempts that the relay was given count; where a route allows three or more, one is kept for another relay; else the query fails with 502.

--- a/src/adapters/settings/forward_settings.cpp
+++ b/src/adapters/settings/forward_settings.cpp
@@ -117,6 +117,10 @@
             caps.finish();
         });
     }
+    in.map("placement", [&](yaml_reader& placement) {
+        placement.read("expected_finish", out.expected_finish);
+        placement.finish();
+    });
     if (in.has("rollouts")) {
         in.map("rollouts", [&](yaml_reader& rollouts) {
             read_rollouts(rollouts, out.rollouts.emplace());
--- a/src/adapters/settings/forward_settings.hpp
+++ b/src/adapters/settings/forward_settings.hpp
@@ -49,6 +49,8 @@
     std::optional<usage_tolerance> usage_caps;
     // Without a value rollouts are not carried out.
     std::optional<rollout_bounds> rollouts;
+    // Places requests by expected finish at upstreams that report their speed.
+    bool expected_finish = false;
     duration leave_within = from_ms(3000);  // upstreams that leave get no work
     duration change_within = from_ms(3000); // manifests are in force
     duration evacuate_within = from_ms(5000);
--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -84,9 +84,10 @@
                                  forward_metrics& metrics,
                                  host_memory const& memory)
     : io_(io), settings_(settings), names_(names), metrics_(metrics),
-      memory_(memory),
-      fleet_({.host = settings.name, .data_centre = settings.data_centre},
-             std::random_device()()),
+      memory_(memory), fleet_({.host = settings.name,
+                               .data_centre = settings.data_centre,
+                               .expected_finish = settings.expected_finish},
+                              std::random_device()()),
       links_(io, fleet_, names, {.memory = memory.upstreams}, core_now,
              [this](upstream_view const& it, bool reachable) {
                  on_reach(it, reachable);
--- a/src/core/forward/relayed_run.cpp
+++ b/src/core/forward/relayed_run.cpp
@@ -14,6 +14,9 @@
 // that more would use up a short objective.
 constexpr std::size_t max_relays = 2;
 
+// A relay needs two attempts to hedge.
+constexpr std::uint32_t min_relay_attempts = 2;
+
 // Allowance for the network latency of query and answer. A round trip
 // between data centres of one region takes 2 to 3 ms.
 constexpr duration relay_latency_allowance = from_ms(2);
@@ -68,13 +71,18 @@
     relay_suspected_ = false;
     postponed_ = false;
     accept_deadline_ = now + options_.pool->settings().suspect_timeout;
+    // One attempt is kept for another relay where the route leaves two.
+    given_attempts_ = attempts_left();
+    if (given_attempts_ > min_relay_attempts) {
+        --given_attempts_;
+    }
     call_ = options_.pool->port().run(
         to->host,
         {.route = options_.direct.route->name,
          .fingerprint = options_.fingerprint,
          .elapsed = now - options_.direct.arrival + relay_latency_allowance,
          .left = options_.direct.end - now - relay_latency_allowance,
-         .attempts = attempts_left(),
+         .attempts = given_attempts_,
          .request = options_.direct.request},
         [this](relay_event event) { on_event(std::move(event)); });
     if (options_.direct.on_timer_changed) {
@@ -85,7 +93,8 @@
 std::uint32_t relayed_run::attempts_left() const
 {
     auto const allowed = options_.direct.route->attempts;
-    return allowed > ambiguous_relays_ + 1 ? allowed - ambiguous_relays_ : 1;
+    return allowed > ambiguous_attempts_ + 1 ? allowed - ambiguous_attempts_
+                                             : 1;
 }
 
 void relayed_run::run_directly()
@@ -165,7 +174,7 @@
         return;
     }
     if (sent) {
-        ++ambiguous_relays_;
+        ambiguous_attempts_ += given_attempts_;
     }
     try_next_or_fail(now);
 }
@@ -240,15 +249,17 @@
     // together, and does not start the query.
     record_outcome("not_accepted");
     end_call();
-    ++ambiguous_relays_;
+    ambiguous_attempts_ += given_attempts_;
     try_next_or_fail(now);
 }
 
-// Relays that may have started the query count as attempts; another relay may
-// run it only while the route allows further upstreams.
+// A relay that may have started the query may have used all attempts that it
+// was given; another relay may run it only while the route allows further
+// upstreams. One attempt a relay was not enough: shards of a query whose first
+// relay was cut off ran at three upstreams where two are allowed.
 void relayed_run::try_next_or_fail(time_point now)
 {
-    if (ambiguous_relays_ >= options_.direct.route->attempts) {
+    if (ambiguous_attempts_ >= options_.direct.route->attempts) {
         finish_with_error(502, errc::peer_unreachable,
                           "no relay accepted the query; all attempts used");
         return;
@@ -271,7 +282,7 @@
 {
     auto* const error = std::get_if<error_answer>(&answer);
     if (error && error->reason.run == run_state::not_run &&
-        ambiguous_relays_ > 0) {
+        ambiguous_attempts_ > 0) {
         *error = {.status = error->status == 504 ? 504U : 502U,
                   .reason = {.code = error->reason.code,
                              .run = run_state::unknown,
--- a/src/core/forward/relayed_run.hpp
+++ b/src/core/forward/relayed_run.hpp
@@ -13,9 +13,9 @@
 
 // A fan-out query that a relay runs for this host. If the relay does not accept
 // the query, another relay gets it, and finally this host runs it directly. If
-// a relay is lost after it has accepted the query, the query fails: its shards
-// may have run at as many upstreams as the route allows, and the caller has to
-// retry.
+// a relay is lost that has accepted the query or may have started it, and had
+// all attempts of the route, the query fails: its shards may have run at as
+// many upstreams as the route allows, and the caller has to retry.
 class relayed_run
 {
 public:
@@ -71,9 +71,10 @@
     bool relay_suspected_ = false;
     bool accepted_ = false;
     bool postponed_ = false; // accept_deadline_ was postponed
-    // Relays from which no acceptance arrived, but which may have started the
-    // query.
-    std::uint32_t ambiguous_relays_ = 0;
+    // Attempts of the last call, and of the relays from which no acceptance
+    // arrived, but which may have started the query.
+    std::uint32_t given_attempts_ = 0;
+    std::uint32_t ambiguous_attempts_ = 0;
     std::unique_ptr<request_run> direct_;
     std::optional<run_summary> summary_; // reported by the relay
     std::string relay_outcomes_;         // "relay=outcome" for each call
--- a/src/core/forward/upstream_fleet.hpp
+++ b/src/core/forward/upstream_fleet.hpp
@@ -35,6 +35,8 @@
     // are preferred: above the usual latency of a request and below the pauses
     // of upstreams (100 ms).
     duration suspect_after = from_ms(30);
+    // Scores upstreams that report their speed by expected finish.
+    bool expected_finish = true;
     // Time without a response after which an upstream needs a new connection to
     // count as reachable: above the longest pause of an upstream (150 ms).
     duration unreachable_timeout = from_ms(300);
--- a/src/core/forward/upstream_fleet_score.cpp
+++ b/src/core/forward/upstream_fleet_score.cpp
@@ -79,7 +79,7 @@
     auto const open = it.in_flight();
     it.placement.on_report(load, open > 0 ? open - 1 : 0, now);
     auto const entry = services_.find(it.record.service);
-    if (load.speed && entry != services_.end()) {
+    if (settings_.expected_finish && load.speed && entry != services_.end()) {
         entry->second.load.add(it.placement.reported_others(), it.record.slots,
                                now);
         speeds_reported_ = true;
@@ -101,7 +101,8 @@
                                           double usual_per_slot,
                                           time_point now) const
 {
-    if (cost.own.mean <= 0 || !it.placement.reports_speed()) {
+    if (!settings_.expected_finish || cost.own.mean <= 0 ||
+        !it.placement.reports_speed()) {
         return {};
     }
     return it.placement.predict(
