Pass parameters of test fixtures by reference

Found by the linter in four places of the tests of rollouts, usage caps and versions. Checks unchanged; test_core_rollouts, test_core_accounts and test_core_forward pass.

--- a/tests/core/accounts/cap_faults_test.cpp
+++ b/tests/core/accounts/cap_faults_test.cpp
@@ -225,7 +225,7 @@
                          .cap = {.rate = 200, .burst = 20},
                          .tolerance = {.slack = 0},
                          .demand = 3000,
-                         .owner = owner});
+                         .owner = std::move(owner)});
         fleet.run_for(from_ms(8000));
         for (std::uint32_t i = 4; i < 16; ++i) {
             fleet.at(from_ms(300 * (i - 4)), [&fleet, i] { fleet.join(i); });
--- a/tests/core/forward/version_choice_test.cpp
+++ b/tests/core/forward/version_choice_test.cpp
@@ -32,8 +32,8 @@
         update();
     }
     // Number of requests that each instance gets out of n.
-    std::map<std::string, int> choose(int n,
-                                      std::vector<upstream_ptr> exclude = {})
+    std::map<std::string, int>
+    choose(int n, std::vector<upstream_ptr> const& exclude = {})
     {
         std::map<std::string, int> out;
         for (int i = 0; i < n; ++i) {
--- a/tests/core/rollouts/rollout_fixture.hpp
+++ b/tests/core/rollouts/rollout_fixture.hpp
@@ -225,19 +225,20 @@
                 .decider = decider,
                 .bounds = bounds,
                 .write =
-                    [this, &it, n = it.incarnation](std::uint64_t revision,
-                                                    rollout_status status) {
-                        put(it, n, revision, std::move(status));
+                    [this, &it, n = it.incarnation](
+                        std::uint64_t revision, rollout_status const& status) {
+                        put(it, n, revision, status);
                     },
                 .instruct =
-                    [this, &it](rollout_instruction message) {
+                    [this, &it](rollout_instruction const& message) {
                         instruct(it, message);
                     },
                 .log =
                     [this, &it](char const* name, auto fields) {
                         std::string line = it.name + " " + name;
                         for (auto const& [key, value] : fields) {
-                            line += " " + key + "=" + value;
+                            line.append(" ").append(key).append("=").append(
+                                value);
                         }
                         log[steps++] =
                             std::to_string(static_cast<int>(to_ms(elapsed()))) +
@@ -246,11 +247,11 @@
             order_, start_);
     }
     void put(sim_host& it, std::uint64_t incarnation, std::uint64_t revision,
-             rollout_status status)
+             rollout_status const& status)
     {
-        auto const reply = [this, &it,
-                            incarnation](status_write result,
-                                         std::optional<rollout_entry> entry) {
+        auto const reply = [this, &it, incarnation](
+                               status_write result,
+                               std::optional<rollout_entry> const& entry) {
             after(latency(), [this, &it, incarnation, result, entry] {
                 if (it.alive && it.incarnation == incarnation) {
                     it.run->on_written(result, entry, now_);
