Give relays near the shards the cores of the other data centres

Change: the share of cores that relays have is scaled by all cores over those of data centres with shards, as far as strong hosts exist. Evidence: test_core_forward passes.

--- a/src/core/forward/relay_plan.cpp
+++ b/src/core/forward/relay_plan.cpp
@@ -92,13 +92,26 @@
         data_centres[it.data_centre].push_back(&it);
         most_cores = std::max(most_cores, it.cores);
     }
+    // Relays in fewer data centres get the cores of those that have none.
+    double all_cores = 0;
+    double near_cores = 0;
+    for (auto const& it : hosts) {
+        all_cores += it.cores;
+        if (with_shards.empty() || with_shards.contains(it.data_centre)) {
+            near_cores += it.cores;
+        }
+    }
+    auto scaled = settings;
+    if (near_cores > 0) {
+        scaled.relay_cores_ratio *= all_cores / near_cores;
+    }
     host_group remote;
     for (auto const& [name, group] : data_centres) {
         if (!with_shards.empty() && !with_shards.contains(name)) {
             continue;
         }
         for (auto const* const it : select_relays(
-                 group, most_cores * settings.min_cores_ratio, settings)) {
+                 group, most_cores * settings.min_cores_ratio, scaled)) {
             ++out.relays;
             if (it->name == own) {
                 out.is_relay = true;
