Choose the ports of the review's scripts below those of connections

Cause: a host that starts late in a script could find its port taken as the source port of an outgoing connection.

Change: review/lib-2/kit.py draws ports from 12,000 to 31,999.

--- a/review/lib-2/kit.py
+++ b/review/lib-2/kit.py
@@ -30,20 +30,25 @@
     return os.environ.get("TROUBLE", "1") != "0"
 
 
+# Below the usual range of the ports of outgoing connections.
+FIRST_PORT, LAST_PORT = 12_000, 31_999
+
+
 def free_port():
     """A port that is free for TCP and UDP at this moment."""
     while True:
+        port = random.randint(FIRST_PORT, LAST_PORT)
+        if port in free_port.given:
+            continue
         with socket.socket() as tcp, socket.socket(
                 type=socket.SOCK_DGRAM) as udp:
-            tcp.bind((IP, 0))
-            port = tcp.getsockname()[1]
             try:
+                tcp.bind((IP, port))
                 udp.bind((IP, port))
             except OSError:
                 continue
-            if port not in free_port.given:
-                free_port.given.add(port)
-                return port
+            free_port.given.add(port)
+            return port
 
 
 free_port.given = set()
