--- a/review/lib-2/kit.py
+++ b/review/lib-2/kit.py
@@ -403,6 +403,7 @@
             [str(PROGRAM), "forward", "--config", str(self.settings)],
             cwd=ROOT, stdout=self.log, stderr=subprocess.STDOUT,
             stdin=subprocess.DEVNULL)
+        self.kit.processes.append(self.process)
         self.kit.record.line(f"host {self.name} started")
 
     @property
@@ -519,7 +520,7 @@
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="review-"))
         self.store = Store(record)
         self.hosts = []
-        self.servers = []
+        self.processes = []  # all that were started
         self.runs = []  # (time of arrival, request id, server)
         self.numbers = 0
         self.tasks = set()
@@ -548,12 +549,10 @@
                 await asyncio.sleep(0.05)
 
     def close(self):
-        for it in self.hosts:
-            if it.running():
-                it.process.kill()
-            if it.process:
-                it.process.wait()
-                it.log.close()
+        for it in self.processes:
+            if it.poll() is None:
+                it.kill()
+            it.wait()
         if os.environ.get("KEEP_LOGS"):
             print(f"logs: {self.folder}")
         else:
