Log how long entries that vanish from the store stay in use

The logs could not tell apart a host that learns of the removal late, a hold that begins late and requests that wait for a connection: a host logged only that it had stopped using an upstream.

Change: entries_held names the kind, the number of entries, the first one, how long they stay in use and how long the store may have changed unseen.

--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -5,6 +5,7 @@
 #include "core/base/overloaded.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <random>
 #include <utility>
 
@@ -302,6 +303,7 @@
             return;
         }
         it.mirror.on_page(std::move(*page), core_now());
+        log_held(it);
         on_success(it, true, duration::zero());
         start_other_kinds();
         if (it.kind == store_kind::manifests && it.mirror.listed()) {
@@ -323,6 +325,7 @@
         }
         bool const changed = !events->events.empty();
         it.mirror.on_events(std::move(*events), core_now());
+        log_held(it);
         floors_.on_mirror(it.kind);
         on_success(it, changed, it.batch_delay);
         return;
@@ -330,6 +333,25 @@
     on_failure(it, std::get<store_error>(result));
 }
 
+void forward_control::log_held(watcher& it)
+{
+    auto const held = it.mirror.take_held();
+    if (held.empty()) {
+        return;
+    }
+    auto const now = core_now();
+    auto const whole_ms = [](duration d) {
+        return std::to_string(std::llround(to_ms(d)));
+    };
+    log_info("entries_held",
+             {{"kind", name_of(store_kind_names, it.kind)},
+              {"entries", std::to_string(held.size())},
+              {"first", held.front().name},
+              {"hold_ms", whole_ms(held.front().until - now)},
+              {"store_age_ms", whole_ms(floors_.age(now))},
+              {"revision", std::to_string(it.mirror.revision())}});
+}
+
 void forward_control::on_success(watcher& it, bool changed,
                                  duration batch_delay)
 {
--- a/src/app/forward/forward_control.hpp
+++ b/src/app/forward/forward_control.hpp
@@ -107,6 +107,8 @@
     // Publishes a change and delays the next call by batch_delay.
     void on_success(watcher& it, bool changed, duration batch_delay);
     void on_failure(watcher& it, store_error error);
+    // Logs entries that are used although they have just gone missing.
+    void log_held(watcher& it);
     void on_history_gone();
     // An answer of the store has this era. Lists every kind again when it is a
     // newer one. Returns whether the answer may be used in the present era.
--- a/src/app/forward/forward_control_floors.cpp
+++ b/src/app/forward/forward_control_floors.cpp
@@ -42,7 +42,9 @@
 void forward_control::on_read(store_kind kind, store_events events)
 {
     bool const changed = !events.events.empty();
-    watcher_of(kind).mirror.on_events(std::move(events), core_now());
+    auto& it = watcher_of(kind);
+    it.mirror.on_events(std::move(events), core_now());
+    log_held(it);
     if (changed) {
         publish();
     }
--- a/src/core/forward/store_mirror.cpp
+++ b/src/core/forward/store_mirror.cpp
@@ -71,6 +71,7 @@
         bool const host = std::holds_alternative<host_entry>(it->second.value);
         it->second.held_until =
             host ? now + settings_.missing_host_hold : until;
+        held_.push_back({.name = name, .until = *it->second.held_until});
     }
 }
 
--- a/src/core/forward/store_mirror.hpp
+++ b/src/core/forward/store_mirror.hpp
@@ -7,7 +7,9 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
+#include <vector>
 
 namespace snipemill {
 
@@ -46,6 +48,13 @@
 
 using mirror_action = std::variant<list_action, watch_action>;
 
+// An entry that is used although the store does not have it any more.
+struct held_entry
+{
+    std::string name;
+    time_point until{};
+};
+
 // Local copy of all objects of one kind in the store, kept up to date by a list
 // and then by watches. Decides which call comes next; the caller makes the call
 // and reports the result.
@@ -93,6 +102,8 @@
     bool expire(time_point now);
     // Earliest end of a hold time.
     std::optional<time_point> next_expiry() const;
+    // Entries that have gone missing and are held since the last call.
+    std::vector<held_entry> take_held() { return std::exchange(held_, {}); }
 
     template <class F>
     void for_each(F f) const
@@ -134,6 +145,7 @@
     std::uint64_t generation_ = 1;
     std::uint64_t revision_ = 0;
     std::uint64_t changed_revision_ = 0;
+    std::vector<held_entry> held_;      // not taken yet
     std::uint64_t oldest_revision_ = 0; // minimum over the pages of a listing
     std::uint64_t required_revision_ = 0;
     std::uint64_t era_ = 0;
