Give requests back that wait for a connection to an upstream that leaves

Cause: a request that waits for a connection keeps the upstream that was chosen for it, also when that upstream leaves the list, is drained or evacuated meanwhile.

Change: upstream_links ends such exchanges as not sent, and the request chooses another upstream.

Evidence: upstream_links.a_waiting_request_is_not_sent_to_a_removed_upstream and .a_waiting_request_is_not_sent_to_a_leaving_upstream fail while the calls are left out (trial, in which a third call of the function was left out too), and pass.

Measured: test_adapters_forward, 48 tests, passed.

--- a/src/adapters/forward/upstream_links.cpp
+++ b/src/adapters/forward/upstream_links.cpp
@@ -106,9 +106,19 @@
         idle.connection->discard();
     }
     it->idle.clear();
+    fail_waiting(it);
     erase_if_unused(it);
 }
 
+void upstream_links::end_waiting_for_leaving()
+{
+    for (auto const& [to, it] : links_) {
+        if (to->leaving() || to->evacuated) {
+            fail_waiting(it);
+        }
+    }
+}
+
 // Erases a removed link that has no exchange in flight and no connection being
 // set up.
 void upstream_links::erase_if_unused(link_ptr const& it)
@@ -188,7 +198,7 @@
 void upstream_links::on_connect_failed(link_ptr const& it)
 {
     set_reachable(*it, false);
-    fail_waiting(*it);
+    fail_waiting(it);
     schedule_reconnect(it);
 }
 
@@ -406,13 +416,14 @@
 }
 
 // Posts the callbacks, because send() must not call them before it returns.
-void upstream_links::fail_waiting(upstream_link& it)
+void upstream_links::fail_waiting(link_ptr const& it)
 {
-    auto const waiting = std::exchange(it.waiting, {});
+    auto const waiting = std::exchange(it->waiting, {});
     for (auto const id : waiting) {
-        asio::post(io_, [this, alive = alive_, id] {
+        asio::post(io_, [this, alive = alive_, it, id] {
             if (*alive) {
                 complete_exchange(id, exchange_not_sent{});
+                erase_if_unused(it);
             }
         });
     }
--- a/src/adapters/forward/upstream_links.hpp
+++ b/src/adapters/forward/upstream_links.hpp
@@ -85,8 +85,12 @@
     // Preconnects to the upstream, unless a connection is open, being set up
     // or waiting for a reconnect, or the upstream is leaving or evacuated.
     void add(upstream_ptr const& to);
-    // Closes the upstream's idle connections. Open exchanges continue.
+    // Closes the upstream's idle connections. Open exchanges continue; those
+    // that wait for a connection end as not sent.
     void remove(upstream_ptr const& to);
+    // Ends the exchanges that wait for a connection to an upstream which takes
+    // no requests any more as not sent, so that they go to another one.
+    void end_waiting_for_leaving();
 
     exchange_id send(upstream_ptr to,
                      std::shared_ptr<forward_request const> request,
@@ -167,7 +171,7 @@
                             exchange_result const& result);
     void add_idle(link_ptr const& it, connection_ptr const& connection);
     void complete_exchange(exchange_id id, exchange_outcome outcome);
-    void fail_waiting(upstream_link& it);
+    void fail_waiting(link_ptr const& it);
     void arm_release_timer();
     void on_release_timer();
     void set_reachable(upstream_link& it, bool reachable);
--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -188,6 +188,7 @@
             shared_.crashes.on_ended(lifetime_id(it->record), now);
         }
     }
+    links_.end_waiting_for_leaving();
     shared_.crashes.set_shared(snapshot_->crashes, now);
     if (!changes.added.empty() || !changes.removed.empty()) {
         log_info("upstreams_changed",
--- a/tests/adapters/forward/upstream_links_test.cpp
+++ b/tests/adapters/forward/upstream_links_test.cpp
@@ -42,15 +42,16 @@
     exchange_id send(std::string const& id)
     {
         auto const now = core_now();
-        upstream()->sent(now);
+        auto const to = upstream();
+        to->sent(now);
         return links->send(
-            upstream(),
+            to,
             std::make_shared<forward_request const>(forward_request{
                 .id = id,
                 .method = "GET",
                 .text = "GET / HTTP/1.1\r\nx-id: " + id + "\r\n"}),
-            now + from_ms(5000), [this, now](exchange_outcome outcome) {
-                upstream()->released(now);
+            now + from_ms(5000), [this, now, to](exchange_outcome outcome) {
+                to->released(now);
                 outcomes.push_back(std::move(outcome));
                 if (on_outcome) {
                     on_outcome();
@@ -512,3 +513,34 @@
     // A field has at least two pointers for each of its lists and its text.
     CHECK(run_until(io, [&] { return links->answer_bytes() > fields * 40; }));
 }
+
+// A request waits for a connection when its upstream leaves the list. Guards
+// against sending it once the connection is there, after the time within which
+// the upstream must be out of use.
+TEST(upstream_links, a_waiting_request_is_not_sent_to_a_removed_upstream)
+{
+    start();
+    send("1");
+    auto const removed = upstream();
+    fleet.update({}, {}, core_now());
+    links->remove(removed);
+    CHECK(wait_outcomes(1));
+    CHECK(std::holds_alternative<exchange_not_sent>(outcomes[0]));
+    pass(std::chrono::milliseconds(50));
+    CHECK(server.peers.empty() || !server.peers[0]->has("x-id"));
+}
+
+// The same for an upstream that says that it leaves.
+TEST(upstream_links, a_waiting_request_is_not_sent_to_a_leaving_upstream)
+{
+    start();
+    send("1");
+    auto record = upstream()->record;
+    record.draining = true;
+    fleet.update({record}, {}, core_now());
+    links->end_waiting_for_leaving();
+    CHECK(wait_outcomes(1));
+    CHECK(std::holds_alternative<exchange_not_sent>(outcomes[0]));
+    pass(std::chrono::milliseconds(50));
+    CHECK(server.peers.empty() || !server.peers[0]->has("x-id"));
+}
