Count the use of a missing upstream from when the store last had it

Callers saw 502 for requests that may run once: hosts sent them to servers that the store had removed more than 3 s before and that had a right to end.

Cause: an entry that vanishes without notice is held, since a store that was down drops entries of running upstreams. The hold of 1.98 s began when the host learnt of the removal, up to 1.5 s after it where outdated reads are behind. The age of the copy and the hold had a bound each, their sum had none.

Change: store_freshness knows the last time at which a kind was up to date, by the last floor that the copy has reached or the last current read; store_mirror uses a missing entry until three quarters of the bound after it at the latest. While the store is disturbed (a current call has failed within the last 2 s or takes over a quarter of the bound, or two watches failed in a row) the whole hold counts from the moment of learning, as before. This works because an entry of the copy was in the store at that time, so that its removal was confirmed later.

--- a/src/app/forward/floor_keeper.cpp
+++ b/src/app/forward/floor_keeper.cpp
@@ -31,7 +31,7 @@
 
 void floor_keeper::start(std::uint64_t revision, time_point as_of)
 {
-    freshness_.on_read(revision, as_of);
+    freshness_.on_read(revision, as_of, core_now());
     if (!std::exchange(started_, true)) {
         arm();
     }
@@ -120,6 +120,9 @@
                 ++read_failures_;
                 bool const gone =
                     std::get<store_error>(result) == store_error::history_gone;
+                if (!gone) {
+                    freshness_.on_failure(core_now());
+                }
                 f(std::nullopt);
                 if (gone) {
                     options_.on_history_gone(kind);
@@ -149,6 +152,7 @@
         bounded_kinds.begin(), bounded_kinds.end(),
         [this](store_kind it) { return options_.mirror(it).listed(); });
     if (!listed) {
+        freshness_.read_ended(now);
         return;
     }
     ++store_reads_;
@@ -197,7 +201,9 @@
 void floor_keeper::finish_read()
 {
     auto const read = *std::exchange(read_, std::nullopt);
-    freshness_.on_read(read.revision, read.began);
+    auto const now = core_now();
+    freshness_.read_ended(now);
+    freshness_.on_read(read.revision, read.began, now);
     send_floor(plan_.data_centre, false);
     send_floor(plan_.other_firsts, true);
     arm();
@@ -206,6 +212,7 @@
 void floor_keeper::fail_read()
 {
     read_.reset();
+    freshness_.read_ended(core_now());
     arm();
 }
 
@@ -299,6 +306,12 @@
     });
 }
 
+std::optional<time_point> floor_keeper::up_to_date_at(store_kind kind) const
+{
+    return is_bounded(kind) ? freshness_.up_to_date_at(kind, core_now())
+                            : std::nullopt;
+}
+
 void floor_keeper::report(forward_metrics& metrics) const
 {
     metrics.set_counter("store_reads", store_reads_);
--- a/src/app/forward/floor_keeper.hpp
+++ b/src/app/forward/floor_keeper.hpp
@@ -59,6 +59,8 @@
     void on_message(floor_message const& message);
     // The mirror of the kind has changed or was confirmed.
     void on_mirror(store_kind kind);
+    // See store_freshness.
+    std::optional<time_point> up_to_date_at(store_kind kind) const;
     // Time for which the store may have changed without this host's knowledge.
     duration age(time_point now) const { return freshness_.age(now); }
     void report(forward_metrics& metrics) const;
--- a/src/app/forward/forward_control.cpp
+++ b/src/app/forward/forward_control.cpp
@@ -78,14 +78,18 @@
 // a removed upstream must be out of use.
 constexpr double hold_ratio = 0.66;
 
+// The same counted from the last time at which the copy was up to date. The
+// rest is for the way of the last request to the upstream.
+constexpr double use_ratio = 0.75;
+
 store_mirror_settings mirror_settings(forward_settings const& from)
 {
     store_mirror_settings out;
-    auto const hold =
-        std::chrono::duration_cast<duration>(from.leave_within * hold_ratio);
-    out.missing_hold = std::min(out.missing_hold, hold);
-    out.missing_hold_after_resync =
-        std::min(out.missing_hold_after_resync, hold);
+    auto const part = [&](double ratio) {
+        return std::chrono::duration_cast<duration>(from.leave_within * ratio);
+    };
+    out.missing_hold = std::min(out.missing_hold, part(hold_ratio));
+    out.use_after_up_to_date = part(use_ratio);
     return out;
 }
 
@@ -302,7 +306,8 @@
         if (!use_answer(it, page->era)) {
             return;
         }
-        it.mirror.on_page(std::move(*page), core_now());
+        it.mirror.on_page(std::move(*page), core_now(),
+                          floors_.up_to_date_at(it.kind));
         log_held(it);
         on_success(it, true, duration::zero());
         start_other_kinds();
@@ -324,7 +329,8 @@
             return;
         }
         bool const changed = !events->events.empty();
-        it.mirror.on_events(std::move(*events), core_now());
+        it.mirror.on_events(std::move(*events), core_now(),
+                            floors_.up_to_date_at(it.kind));
         log_held(it);
         floors_.on_mirror(it.kind);
         on_success(it, changed, it.batch_delay);
--- a/src/app/forward/forward_control_floors.cpp
+++ b/src/app/forward/forward_control_floors.cpp
@@ -43,7 +43,8 @@
 {
     bool const changed = !events.events.empty();
     auto& it = watcher_of(kind);
-    it.mirror.on_events(std::move(events), core_now());
+    it.mirror.on_events(std::move(events), core_now(),
+                        floors_.up_to_date_at(kind));
     log_held(it);
     if (changed) {
         publish();
--- a/src/core/forward/store_freshness.cpp
+++ b/src/core/forward/store_freshness.cpp
@@ -45,6 +45,7 @@
 {
     if (it.copy >= it.floor) {
         it.behind_since.reset();
+        it.up_to_date_at = std::max(it.up_to_date_at.value_or(as_of_), as_of_);
     }
     else if (!it.behind_since) {
         it.behind_since = now;
@@ -66,12 +67,17 @@
     }
     it.copy = std::max(it.copy, revision);
     compare(it, now);
+    it.up_to_date_at = std::max(it.up_to_date_at.value_or(began), began);
 }
 
-void store_freshness::on_read(std::uint64_t revision, time_point as_of)
+void store_freshness::on_read(std::uint64_t revision, time_point as_of,
+                              time_point now)
 {
     revision_ = std::max(revision_, revision);
     as_of_ = std::max(as_of_, as_of);
+    for (auto& it : kinds_) {
+        compare(it, now);
+    }
 }
 
 void store_freshness::enter_era(std::uint64_t era)
@@ -95,11 +101,10 @@
         if (it.floors[i] > kind.floor) {
             kind.floor = it.floors[i];
             kind.raised_at = now;
-            compare(kind, now);
         }
     }
     bool const newer = now - it.age > as_of_;
-    on_read(it.revision, now - it.age);
+    on_read(it.revision, now - it.age, now);
     return newer;
 }
 
@@ -121,6 +126,33 @@
 void store_freshness::read_started(time_point now)
 {
     not_before_ = now + part_of_bound(settings_.read_ratio);
+    read_began_ = now;
+}
+
+void store_freshness::read_ended(time_point now)
+{
+    if (read_is_slow(now)) {
+        disturbed_at_ = now;
+    }
+    read_began_.reset();
+}
+
+bool store_freshness::read_is_slow(time_point now) const
+{
+    return read_began_ &&
+           now - *read_began_ > part_of_bound(settings_.call_ratio);
+}
+
+bool store_freshness::disturbed(time_point now) const
+{
+    return read_is_slow(now) ||
+           (disturbed_at_ && now - *disturbed_at_ < settings_.recovery);
+}
+
+std::optional<time_point> store_freshness::up_to_date_at(store_kind kind,
+                                                         time_point now) const
+{
+    return disturbed(now) ? std::nullopt : state_of(kind).up_to_date_at;
 }
 
 std::optional<time_point> store_freshness::read_kind_at(store_kind kind) const
--- a/src/core/forward/store_freshness.hpp
+++ b/src/core/forward/store_freshness.hpp
@@ -32,6 +32,12 @@
     duration bound = from_ms(3000);
     double read_ratio = 1.0 / 3;     // interval of current reads
     double takeover_ratio = 1.0 / 4; // longest delay of a host that takes over
+    // Longest time that a read takes while the store is well: the part of the
+    // bound that is left for calls.
+    double call_ratio = 1.0 / 4;
+    // Time after an outage of the store within which running upstreams have
+    // registered again.
+    duration recovery = from_ms(2000);
     // Time that watches have to deliver what a floor shows to exist: they wait
     // for up to an eighth of the bound between two calls.
     double catch_up_ratio = 1.0 / 6;
@@ -60,7 +66,7 @@
                       std::uint64_t changed_revision, time_point began,
                       time_point now);
     // All kinds are as old as at `as_of`, when the store had this revision.
-    void on_read(std::uint64_t revision, time_point as_of);
+    void on_read(std::uint64_t revision, time_point as_of, time_point now);
     // Floors and revisions of the eras before are void.
     void enter_era(std::uint64_t era);
     // From another host. Returns whether it is newer than what is known. Only
@@ -73,6 +79,15 @@
     time_point next_read() const;
     // No read is due for one interval, however the read ends.
     void read_started(time_point now);
+    void read_ended(time_point now);
+    // A call to the store has failed.
+    void on_failure(time_point now) { disturbed_at_ = now; }
+    // Latest time at which the copy of the kind was certainly up to date: an
+    // entry that it has was in the store then. None while the store is
+    // disturbed, because it may have lost entries of running upstreams, or
+    // while nothing is known of the kind.
+    std::optional<time_point> up_to_date_at(store_kind kind,
+                                            time_point now) const;
     // Time at which a kind has to be read, if it is behind its floor.
     std::optional<time_point> read_kind_at(store_kind kind) const;
     // Delays the read of a kind that failed.
@@ -93,19 +108,25 @@
         std::uint64_t copy = 0;
         time_point raised_at{}; // the floor, last
         std::optional<time_point> behind_since;
+        std::optional<time_point> up_to_date_at;
     };
 
     kind_state& state_of(store_kind kind);
     kind_state const& state_of(store_kind kind) const;
     duration part_of_bound(double ratio) const;
-    static void compare(kind_state& it, time_point now);
+    bool read_is_slow(time_point now) const;
+    // Whether the store is unavailable or slow, or was so a moment ago.
+    bool disturbed(time_point now) const;
+    void compare(kind_state& it, time_point now);
 
     store_freshness_settings settings_;
     std::array<kind_state, bounded_kinds.size()> kinds_;
     std::uint64_t era_ = 0;
     std::uint64_t revision_ = 0;
     time_point as_of_{};
-    time_point not_before_{}; // of the next read
+    time_point not_before_{};              // of the next read
+    std::optional<time_point> read_began_; // of the read that is under way
+    std::optional<time_point> disturbed_at_;
     double place_ = 1;
 };
 
--- a/src/core/forward/store_mirror.cpp
+++ b/src/core/forward/store_mirror.cpp
@@ -63,12 +63,12 @@
     if (it == entries_.end()) {
         return;
     }
-    if (!held_when_missing(it->second.value)) {
+    bool const host = std::holds_alternative<host_entry>(it->second.value);
+    if (!held_when_missing(it->second.value) || (!host && until <= now)) {
         entries_.erase(it);
         return;
     }
     if (!it->second.held_until) {
-        bool const host = std::holds_alternative<host_entry>(it->second.value);
         it->second.held_until =
             host ? now + settings_.missing_host_hold : until;
         held_.push_back({.name = name, .until = *it->second.held_until});
@@ -92,7 +92,21 @@
     return true;
 }
 
-void store_mirror::on_page(store_page&& page, time_point now)
+// In an outage the last time at which the copy was up to date tells nothing:
+// the store may have lost every entry since.
+time_point
+store_mirror::use_until(time_point now,
+                        std::optional<time_point> up_to_date_at) const
+{
+    auto const held = now + settings_.missing_hold;
+    return outage_ || !up_to_date_at
+               ? held
+               : std::min(held,
+                          *up_to_date_at + settings_.use_after_up_to_date);
+}
+
+void store_mirror::on_page(store_page&& page, time_point now,
+                           std::optional<time_point> up_to_date_at)
 {
     // Pages of two eras are no listing, and a watch cannot fill the gap.
     if (page.era != era_) {
@@ -115,11 +129,7 @@
         restart_listing();
         return;
     }
-    auto const until =
-        outage_ || !listed_
-            ? now + settings_.missing_hold
-            : std::min(now + settings_.missing_hold,
-                       confirmed_at_ + settings_.missing_hold_after_resync);
+    auto const until = use_until(now, up_to_date_at);
     std::vector<std::string> missing;
     for (auto const& [name, it] : entries_) {
         if (it.generation != generation_) {
@@ -144,21 +154,22 @@
     listed_ = true;
     outage_ = false;
     new_era_ = false;
-    confirmed_at_ = now;
 }
 
-void store_mirror::on_events(store_events&& events, time_point now)
+void store_mirror::on_events(store_events&& events, time_point now,
+                             std::optional<time_point> up_to_date_at)
 {
     if (events.era != era_) {
         return;
     }
+    auto const until = use_until(now, up_to_date_at);
     outage_ = false;
     if (events.revision < revision_) {
         return;
     }
     for (auto& it : events.events) {
         if (it.deleted) {
-            remove(it.entry.name, now + settings_.missing_hold, now);
+            remove(it.entry.name, until, now);
         }
         else {
             put(std::move(it.entry));
@@ -168,7 +179,6 @@
     if (!events.events.empty()) {
         changed_revision_ = revision_;
     }
-    confirmed_at_ = now;
 }
 
 void store_mirror::on_error(store_error error, std::uint32_t failures)
--- a/src/core/forward/store_mirror.hpp
+++ b/src/core/forward/store_mirror.hpp
@@ -20,12 +20,10 @@
     // drops entries during an outage, and running upstreams have registered
     // again about 2 s after the store is back.
     duration missing_hold = from_ms(2000);
-    // The same when a new listing lacks the entry and the store was available
-    // throughout (a new listing follows when the store has dropped its
-    // history), counted from the last time at which the entry was confirmed;
-    // below the bound of 3 s after which a stopped upstream may get no more
-    // requests.
-    duration missing_hold_after_resync = from_ms(2200);
+    // Longest such time when the store was available throughout, counted from
+    // the last time at which the store certainly had the entry: below the bound
+    // of 3 s after which a stopped upstream may get no more requests.
+    duration use_after_up_to_date = from_ms(2250);
     // Time for which the entry of a host is kept after the listing of a
     // restored store that lacks it. A host counts on being in the lists of the
     // others until its entry expires, also when it is cut off from the store.
@@ -66,11 +64,15 @@
     {}
 
     mirror_action next_action() const;
-    void on_page(store_page&& page, time_point now);
+    // up_to_date_at: latest time at which this copy was up to date, as far as
+    // that is known and the store was available since; see store_freshness.
+    void on_page(store_page&& page, time_point now,
+                 std::optional<time_point> up_to_date_at = {});
     // Events after any revision that this copy has had. An answer that ends
     // before this copy's revision is ignored: an outdated watch may answer
     // after a current one.
-    void on_events(store_events&& events, time_point now);
+    void on_events(store_events&& events, time_point now,
+                   std::optional<time_point> up_to_date_at = {});
     // The store was restored from an older copy: revisions count from there,
     // and all is listed again. Returns false when the first page of a current
     // listing is awaited, which serves for that.
@@ -136,6 +138,9 @@
     void put(store_entry&& entry);
     void remove(std::string const& name, time_point until, time_point now);
     void restart_listing();
+    // Time until which entries that are found missing now are used.
+    time_point use_until(time_point now,
+                         std::optional<time_point> up_to_date_at) const;
     bool held_when_missing(store_value const& value) const;
     bool outdated_renewal(store_entry const& entry) const;
 
@@ -159,7 +164,6 @@
     bool outdated_ = false;
     // The store has been unavailable since its last answer.
     bool outage_ = false;
-    time_point confirmed_at_{}; // last time at which the entries were current
 };
 
 } // namespace snipemill
--- a/tests/core/forward/store_freshness_test.cpp
+++ b/tests/core/forward/store_freshness_test.cpp
@@ -1,4 +1,5 @@
 #include "core/forward/store_freshness.hpp"
+#include "core/forward/store_mirror.hpp"
 
 #include <CppUTest/TestHarness.h>
 
@@ -27,7 +28,7 @@
     void setup() override
     {
         it.set_place(0);
-        it.on_read(10, at(0));
+        it.on_read(10, at(0), at(0));
     }
 };
 
@@ -124,3 +125,67 @@
     CHECK(it.read_kind_at(store_kind::manifests).has_value());
     UNSIGNED_LONGS_EQUAL(1, it.floor(at(10)).era);
 }
+
+// Guards against taking a copy for current that lacks what a floor shows.
+TEST(store_freshness, a_copy_is_up_to_date_when_it_has_reached_the_floor)
+{
+    auto const kind = store_kind::upstreams;
+    it.on_copy(kind, 10, at(0));
+    it.on_floor(floor_of_all(10, from_ms(0)), at(1000));
+    CHECK(it.up_to_date_at(kind, at(1100)) == at(1000));
+    it.on_floor(floor_of_all(20, from_ms(10)), at(2010));
+    CHECK(it.up_to_date_at(kind, at(2100)) == at(1000));
+    // An outdated answer that does not reach the floor.
+    it.on_copy(kind, 15, at(2100));
+    CHECK(it.up_to_date_at(kind, at(2200)) == at(1000));
+    it.on_copy(kind, 20, at(2300));
+    CHECK(it.up_to_date_at(kind, at(2400)) == at(2000));
+    it.on_kind_read(kind, 20, 20, at(2500), at(2510));
+    CHECK(it.up_to_date_at(kind, at(2600)) == at(2500));
+}
+
+// Guards against counting from before an outage, in which the store may have
+// lost the entries of running upstreams.
+TEST(store_freshness, nothing_is_known_to_be_up_to_date_in_a_disturbance)
+{
+    auto const kind = store_kind::upstreams;
+    it.on_copy(kind, 10, at(0));
+    CHECK(it.up_to_date_at(kind, at(500)).has_value());
+    it.on_failure(at(600));
+    CHECK_FALSE(it.up_to_date_at(kind, at(700)).has_value());
+    CHECK_FALSE(it.up_to_date_at(kind, at(2500)).has_value());
+    CHECK(it.up_to_date_at(kind, at(2600)).has_value());
+    // A read that does not return is no better than one that fails.
+    it.read_started(at(3000));
+    CHECK(it.up_to_date_at(kind, at(3700)).has_value());
+    CHECK_FALSE(it.up_to_date_at(kind, at(3800)).has_value());
+    it.read_ended(at(4000));
+    CHECK_FALSE(it.up_to_date_at(kind, at(5900)).has_value());
+    CHECK(it.up_to_date_at(kind, at(6000)).has_value());
+    // A read in time does not prolong it.
+    it.read_started(at(6100));
+    it.read_ended(at(6110));
+    CHECK(it.up_to_date_at(kind, at(6110)).has_value());
+}
+
+// Each part of the time for which a removed upstream is used has its largest
+// value: the removal follows a read at once, the reader ends, the last host
+// takes over, and the watch does not show the removal.
+TEST(store_freshness, all_parts_of_the_use_of_a_removed_upstream_fit_the_bound)
+{
+    auto const kind = store_kind::upstreams;
+    store_mirror mirror{{}};
+    store_entry const entry{.name = "a",
+                            .value = upstream_record{.instance = "a"}};
+    mirror.on_page({.entries = {entry}, .revision = 10}, at(0));
+    it.on_copy(kind, mirror.revision(), at(0));
+    it.set_place(1);
+    auto const read = it.next_read();
+    it.on_floor(floor_of_all(20, from_ms(0)), read);
+    auto const known = it.read_kind_at(kind).value();
+    mirror.on_events(
+        {.events = {{.entry = entry, .deleted = true}}, .revision = 20}, known,
+        it.up_to_date_at(kind, known));
+    auto const end = mirror.next_expiry().value_or(known);
+    CHECK(end - at(0) <= from_ms(2250));
+}
--- a/tests/core/forward/store_mirror_test.cpp
+++ b/tests/core/forward/store_mirror_test.cpp
@@ -84,18 +84,54 @@
 
 // Guards against using an upstream for more than 3 s after it may have stopped,
 // when it stopped while the history was lost.
-TEST(store_mirror, lost_history_counts_the_hold_from_the_last_answer)
+TEST(store_mirror, lost_history_counts_the_hold_from_the_last_current_copy)
 {
     mirror.on_page(page({entry("a"), entry("b")}, 10), now);
     auto const last_confirmed = now;
     now += from_ms(2000);
     mirror.on_error(store_error::history_gone, 1);
     CHECK(std::holds_alternative<list_action>(mirror.next_action()));
-    mirror.on_page(page({entry("b")}, 20), now);
+    mirror.on_page(page({entry("b")}, 20), now, last_confirmed);
     now = last_confirmed + from_ms(2300);
     STRCMP_EQUAL("b", names().c_str());
 }
 
+// The store shows a removal late. Guards against a hold that begins when the
+// host learns of it, after most of the bound has passed.
+TEST(store_mirror, a_removal_that_is_shown_late_is_held_for_the_rest_only)
+{
+    mirror.on_page(page({entry("a"), entry("b"), entry("c")}, 10), now);
+    auto const up_to_date_at = now;
+    now += from_ms(1500);
+    mirror.on_events(deleted("a", 11), now, up_to_date_at);
+    STRCMP_EQUAL("abc", names().c_str());
+    now = up_to_date_at + from_ms(2250);
+    STRCMP_EQUAL("bc", names().c_str());
+    // Nothing is left of the time.
+    mirror.on_events(deleted("b", 12), now, up_to_date_at);
+    STRCMP_EQUAL("c", names().c_str());
+    CHECK_FALSE(mirror.next_expiry().has_value());
+}
+
+// Guards against dropping running upstreams whose entries the store has lost in
+// an outage, when the copy was up to date long before.
+TEST(store_mirror, a_removal_after_an_outage_is_held_whole)
+{
+    mirror.on_page(page({entry("a"), entry("b")}, 10), now);
+    auto const up_to_date_at = now;
+    now += from_ms(5000);
+    mirror.on_error(store_error::unavailable, 1);
+    mirror.on_error(store_error::unavailable, 2);
+    mirror.on_events(deleted("a", 11), now, up_to_date_at);
+    // The time at which the copy was up to date is not known after failed
+    // reads.
+    mirror.on_events(deleted("b", 12), now, std::nullopt);
+    now += from_ms(1900);
+    STRCMP_EQUAL("ab", names().c_str());
+    now += from_ms(200);
+    STRCMP_EQUAL("", names().c_str());
+}
+
 // Guards against counting the hold time from the last answer also after an
 // outage, in which every entry may have expired.
 TEST(store_mirror, an_outage_counts_the_hold_from_its_end)
--- a/tests/process/outdated_store_test.cpp
+++ b/tests/process/outdated_store_test.cpp
@@ -95,6 +95,53 @@
     CHECK((*leaver)->server->last_arrival() < begin);
 }
 
+// Guards against an upstream that is used for too long after its entry has been
+// removed without notice: the hold of a missing entry began when the host
+// learnt of the removal.
+TEST(outdated_store, a_removed_upstream_gets_no_requests_after_its_bound)
+{
+    constexpr std::size_t removed = 4;
+    // Not a multiple of the interval of reads, so that the removals come at
+    // different times between two of them.
+    constexpr milliseconds gap{1350};
+    start(5);
+    struct removal
+    {
+        soak::upstream_entry* upstream = nullptr;
+        std::chrono::steady_clock::time_point at;
+    };
+    std::vector<soak::upstream_entry*> candidates;
+    for (auto const& it : f.fleet->upstreams()) {
+        if (it->server->options().service == standin::single_service) {
+            candidates.push_back(it.get());
+        }
+    }
+    CHECK(candidates.size() > removed);
+    std::vector<removal> removals;
+    auto next = std::chrono::steady_clock::now();
+    auto end = next;
+    while (std::chrono::steady_clock::now() < end ||
+           removals.size() < removed) {
+        if (removals.size() < removed &&
+            std::chrono::steady_clock::now() >= next) {
+            auto* const it = candidates[removals.size()];
+            f.fleet->remove_entry(*it);
+            removals.push_back({it, std::chrono::steady_clock::now()});
+            next += gap;
+            end = std::chrono::steady_clock::now() + change_within +
+                  milliseconds(1000);
+        }
+        ask_all("/one/x");
+    }
+    for (auto const& it : removals) {
+        auto const last = it.upstream->server->last_arrival() - it.at;
+        CHECK_TEXT(last <= change_within,
+                   std::to_string(
+                       std::chrono::duration_cast<milliseconds>(last).count())
+                       .c_str());
+    }
+}
+
 // Load pattern: one current call for all hosts. Guards against hosts that each
 // read the store at an interval.
 TEST(outdated_store, hosts_share_the_reads_of_the_store)
