Do not blame a popular request for the loss of its service, and try refused ones

Callers got 503 for ten minutes, with a Retry-After of up to 600 s, for a sound request whose service had been down for some seconds.

Cause: crash_guard counts the upstreams that ended while they ran a request and refuses it from the third on. A popular request runs at every upstream of its service at any moment, so that any loss of the service counts. An answer would clear it, but a refused request is not sent.

Change: a request that this host has seen answered with success in the last 5 s is neither counted nor refused (core/quarantine/recent_answers); one that ends its upstreams has no such answer. A refused request gets three trials, after 3 s and then twice as long each (core/quarantine/trial_schedule): one send to one upstream, of a query to one shard, claimed by a conditional create in the store, so that the number holds over all hosts and restarts. Success clears the request on all hosts. Retry-After is the time to the next trial. The rule allows three runs later than stability_ms after the third crash; the trials are the only ones.

--- a/src/adapters/settings/forward_settings.hpp
+++ b/src/adapters/settings/forward_settings.hpp
@@ -5,6 +5,7 @@
 #include "core/forward/retry_budget.hpp"
 #include "core/rollouts/rollout_bounds.hpp"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -56,6 +57,12 @@
     duration evacuate_within = from_ms(5000);
     duration stop_within = from_ms(6000); // after SIGTERM the host is killed
 
+    // Time within which every change in the store is in force at all hosts.
+    duration shortest_bound() const
+    {
+        return std::min({change_within, leave_within, evacuate_within});
+    }
+
     friend bool operator==(forward_settings const&,
                            forward_settings const&) = default;
 };
--- a/src/app/forward/forward_control.hpp
+++ b/src/app/forward/forward_control.hpp
@@ -53,6 +53,9 @@
     // store has done so.
     void save_crash(crash_entry const& entry) { change_crash(entry, true); }
     void clear_crash(crash_entry const& entry) { change_crash(entry, false); }
+    // Creates the entry of a trial, once. The callback tells whether the store
+    // has confirmed that.
+    void claim_trial(crash_entry const& entry, std::function<void(bool)> f);
     // Sends delayed calls at once when the store is available again.
     void on_store_available();
 
--- a/src/app/forward/forward_control_crashes.cpp
+++ b/src/app/forward/forward_control_crashes.cpp
@@ -94,6 +94,19 @@
     }
 }
 
+void forward_control::claim_trial(crash_entry const& entry,
+                                  std::function<void(bool)> f)
+{
+    store_.claim_trial(entry, [this, entry, f = std::move(f),
+                               changes = era_.changes()](bool created) {
+        bool const done = created && changes == era_.changes();
+        if (done) {
+            keep_crash_change(entry, true);
+        }
+        f(done);
+    });
+}
+
 void forward_control::keep_crash_change(crash_entry const& entry, bool add)
 {
     if (kept_crash_changes_.size() >= max_crash_changes) {
--- a/src/app/forward/forward_control_floors.cpp
+++ b/src/app/forward/forward_control_floors.cpp
@@ -10,8 +10,7 @@
 forward_control::floor_options(forward_settings const& settings)
 {
     return {.store = &store_,
-            .bound = std::min({settings.change_within, settings.leave_within,
-                               settings.evacuate_within}),
+            .bound = settings.shortest_bound(),
             .mirror = [this](store_kind kind) -> store_mirror const& {
                 return watcher_of(kind).mirror;
             },
--- a/src/app/forward/forward_host.cpp
+++ b/src/app/forward/forward_host.cpp
@@ -75,6 +75,15 @@
             added ? control_->save_crash(entry) : control_->clear_crash(entry);
         });
     });
+    traffic_->claim_trials_with([this](crash_entry const& entry) {
+        asio::post(control_io_, [this, entry] {
+            control_->claim_trial(entry, [this, entry](bool created) {
+                asio::post(traffic_io_, [this, entry, created] {
+                    traffic_->on_trial_claimed(entry, created);
+                });
+            });
+        });
+    });
     metrics_server_ = std::make_unique<http_server>(
         control_io_,
         http_server_options{.ip = settings_.metrics.ip,
--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -212,6 +212,8 @@
         }
     };
     return {
+        .settings = {.trials = {.first_delay = settings_.shortest_bound()}},
+        .host = settings_.name,
         .wall_clock_ms =
             [] {
                 return std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -219,7 +221,21 @@
                     .count();
             },
         .on_added = [report](crash_entry const& it) { report(it, true); },
-        .on_cleared = [report](crash_entry const& it) { report(it, false); }};
+        .on_cleared = [report](crash_entry const& it) { report(it, false); },
+        .claim_trial =
+            [this](crash_entry const& it) {
+                if (claim_trial_) {
+                    claim_trial_(it);
+                }
+            }};
+}
+
+void forward_traffic::on_trial_claimed(crash_entry const& entry, bool created)
+{
+    log_info("crash_trial", {{"print", to_text(entry.print)},
+                             {"number", std::to_string(entry.trial)},
+                             {"granted", created ? "yes" : "no"}});
+    shared_.crashes.on_claimed(entry, created, core_now());
 }
 
 void forward_traffic::on_reach(upstream_view const& it, bool reachable)
--- a/src/app/forward/forward_traffic.hpp
+++ b/src/app/forward/forward_traffic.hpp
@@ -51,6 +51,13 @@
     {
         on_crash_ = std::move(f);
     }
+    // Sets what claims trials of refused requests; on_trial_claimed() has to
+    // follow each call.
+    void claim_trials_with(std::function<void(crash_entry const&)> f)
+    {
+        claim_trial_ = std::move(f);
+    }
+    void on_trial_claimed(crash_entry const& entry, bool created);
     // Sets how messages reach other hosts.
     void send_with(usage_caps::send_callback f)
     {
@@ -140,6 +147,7 @@
     forward_metrics& metrics_;
     host_memory const& memory_;
     std::function<void(crash_entry const&, bool)> on_crash_;
+    std::function<void(crash_entry const&)> claim_trial_;
     std::shared_ptr<forward_snapshot const> snapshot_;
     version_counters versions_;
     upstream_fleet fleet_;
--- a/src/core/forward/crash_guard.cpp
+++ b/src/core/forward/crash_guard.cpp
@@ -3,6 +3,7 @@
 #include "core/base/hash.hpp"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace snipemill {
@@ -14,7 +15,8 @@
 }
 
 crash_guard::crash_guard(crash_guard_options o)
-    : options_(std::move(o)), records_(options_.settings.records)
+    : options_(std::move(o)), records_(options_.settings.records),
+      answered_(options_.settings.answers), schedule_(options_.settings.trials)
 {
     if (!options_.wall_clock_ms) {
         options_.wall_clock_ms = [] { return std::int64_t{0}; };
@@ -29,6 +31,9 @@
         return;
     }
     expire(now);
+    if (answered_.contains(print, now)) {
+        return;
+    }
     unconfirmed_loss const it{
         .print = print, .upstream = upstream, .run = run, .at = now};
     if (ended_.contains(upstream)) {
@@ -76,14 +81,28 @@
     own_.push_back({.print = it.print,
                     .upstream = it.upstream,
                     .seen_ms = options_.wall_clock_ms()});
+    note_news(own_.back(), now);
     records_.on_crash(now, it.print, it.upstream);
     if (options_.on_added) {
         options_.on_added(own_.back());
     }
 }
 
-void crash_guard::on_answered(fingerprint print)
+void crash_guard::note_news(crash_entry const& entry, time_point now)
+{
+    auto& it = trials_[entry.print];
+    it.news_at = now;
+    if (entry.trial > it.made) {
+        it.made = entry.trial;
+        it.made_at = now;
+    }
+}
+
+void crash_guard::on_answered(fingerprint print, bool success, time_point now)
 {
+    if (success) {
+        answered_.add(print, now);
+    }
     std::erase_if(unconfirmed_, [&](unconfirmed_loss const& it) {
         return it.print == print;
     });
@@ -91,6 +110,7 @@
         return;
     }
     records_.remove(print);
+    trials_.erase(print);
     for (auto* const entries : {&own_, &shared_}) {
         std::erase_if(*entries, [&](crash_entry const& it) {
             if (it.print != print) {
@@ -117,11 +137,28 @@
     std::erase_if(cleared_, [&](crash_entry const& it) {
         return !contains(entries, it);
     });
-    shared_ = entries;
+    auto const former = std::exchange(shared_, entries);
     std::erase_if(
         shared_, [&](crash_entry const& it) { return contains(cleared_, it); });
+    for (auto const& it : shared_) {
+        if (!contains(former, it) && !contains(own_, it)) {
+            note_news(it, now);
+        }
+        auto& trial = trials_[it.print];
+        if (trial.claim == claim_state::unknown && it.host == options_.host &&
+            it.trial == trial.claimed) {
+            trial.claim = claim_state::granted;
+        }
+    }
     std::erase_if(own_,
                   [&](crash_entry const& it) { return contains(entries, it); });
+    std::erase_if(trials_, [&](auto const& state) {
+        auto const is_of = [&](crash_entry const& it) {
+            return it.print == state.first;
+        };
+        return std::none_of(shared_.begin(), shared_.end(), is_of) &&
+               std::none_of(own_.begin(), own_.end(), is_of);
+    });
     rebuild(now);
 }
 
@@ -135,6 +172,9 @@
             .count();
     for (auto const* const entries : {&shared_, &own_}) {
         for (auto const& it : *entries) {
+            if (it.trial > 0) {
+                continue;
+            }
             // Another writer may have put any number into the entry.
             auto const age_ms =
                 it.seen_ms < 0 ? expiry_ms
@@ -149,6 +189,9 @@
 
 crash_verdict crash_guard::verdict(fingerprint print, time_point now) const
 {
+    if (answered_.contains(print, now)) {
+        return crash_verdict::clear;
+    }
     if (records_.refused(now, print)) {
         return crash_verdict::refused;
     }
@@ -162,10 +205,98 @@
 duration crash_guard::refused_for(fingerprint print, time_point now) const
 {
     auto const record = records_.find(print);
-    return record ? std::max(duration::zero(),
-                             record->last_seen +
-                                 options_.settings.records.expiry - now)
-                  : duration::zero();
+    if (!record) {
+        return duration::zero();
+    }
+    auto const expiry =
+        record->last_seen + options_.settings.records.expiry - now;
+    auto const it = trials_.find(print);
+    if (it == trials_.end() || !options_.claim_trial) {
+        return std::max(duration::zero(), expiry);
+    }
+    auto const& trial = it->second;
+    auto const undecided = trial.made_at + schedule_.settings().first_delay;
+    if (trial.claim == claim_state::asked ||
+        trial.claim == claim_state::granted ||
+        (trial.made > 0 && now < undecided)) {
+        return duration::zero();
+    }
+    auto const next = schedule_.next(trial.made, trial.news_at, true);
+    return std::max(duration::zero(), next ? *next - now : expiry);
+}
+
+duration crash_guard::claim_delay(fingerprint print) const
+{
+    auto const hash = hash_bytes(options_.host, print.value);
+    auto const unit =
+        static_cast<double>(hash) /
+        static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+    return std::chrono::duration_cast<duration>(
+        schedule_.settings().first_delay * unit);
+}
+
+bool crash_guard::take_trial(fingerprint print, std::size_t available,
+                             time_point now)
+{
+    auto const it = trials_.find(print);
+    if (it == trials_.end() || available == 0) {
+        return false;
+    }
+    auto& trial = it->second;
+    if (trial.claim == claim_state::granted) {
+        trial.claim = claim_state::used;
+        return true;
+    }
+    auto const at = schedule_.next(trial.made, trial.news_at, available > 1);
+    if (!options_.claim_trial || trial.claim == claim_state::asked || !at ||
+        now < *at + claim_delay(print)) {
+        return false;
+    }
+    trial.claimed = trial.made + 1;
+    trial.claim = claim_state::asked;
+    options_.claim_trial({.print = print,
+                          .seen_ms = options_.wall_clock_ms(),
+                          .trial = trial.claimed,
+                          .host = options_.host});
+    return false;
+}
+
+void crash_guard::return_trial(fingerprint print)
+{
+    auto const it = trials_.find(print);
+    if (it != trials_.end() && it->second.claim == claim_state::used) {
+        it->second.claim = claim_state::granted;
+    }
+}
+
+void crash_guard::on_claimed(crash_entry const& entry, bool created,
+                             time_point now)
+{
+    auto const it = trials_.find(entry.print);
+    if (it == trials_.end()) {
+        // The request has been answered meanwhile.
+        if (created && options_.on_cleared) {
+            options_.on_cleared(entry);
+        }
+        return;
+    }
+    auto& trial = it->second;
+    if (trial.claim != claim_state::asked || trial.claimed != entry.trial) {
+        return;
+    }
+    if (!created) {
+        trial.claim = claim_state::unknown;
+        trial.news_at = now; // the next claim waits
+        return;
+    }
+    trial.claim = claim_state::granted;
+    note_news(entry, now);
+    auto const shown = [&](crash_entry const& other) {
+        return entry.same_crash(other);
+    };
+    if (std::none_of(shared_.begin(), shared_.end(), shown)) {
+        own_.push_back(entry);
+    }
 }
 
 void crash_guard::expire(time_point now)
--- a/src/core/forward/relayed_run.cpp
+++ b/src/core/forward/relayed_run.cpp
@@ -35,9 +35,16 @@
 
 void relayed_run::start()
 {
-    auto const& direct = options_.direct;
-    if (auto refusal = quarantine_refusal(*direct.shared, *direct.request)) {
-        finish(std::move(*refusal));
+    auto& direct = options_.direct;
+    auto admission = request_run::admit(direct);
+    if (admission.refusal) {
+        finish(std::move(*admission.refusal));
+        return;
+    }
+    if (admission.trial) {
+        // The trial is this host's, and a relay may be lost with it.
+        direct.trial = true;
+        run_directly();
         return;
     }
     try_next_relay(direct.shared->now());
--- a/src/core/forward/request_run.cpp
+++ b/src/core/forward/request_run.cpp
@@ -58,20 +58,31 @@
            (target ? required_shards(*target) : 1);
 }
 
-std::optional<error_answer> quarantine_refusal(fetch_context& shared,
-                                               forward_request const& request)
+crash_admission request_run::admit(options const& o)
 {
+    auto& shared = *o.shared;
+    auto const print = o.request->print;
     auto const now = shared.now();
-    if (shared.crashes.verdict(request.print, now) != crash_verdict::refused) {
-        return std::nullopt;
+    if (shared.crashes.verdict(print, now) != crash_verdict::refused) {
+        return {};
+    }
+    std::size_t available = 0;
+    for (auto const* const it : o.services) {
+        available =
+            std::max(available, shared.fleet.available_upstreams(*it, now));
+    }
+    if (shared.crashes.take_trial(print, available, now)) {
+        return {.trial = true};
     }
     ++shared.quarantined;
-    return error_answer{
-        .status = 503,
-        .reason = {.code = errc::quarantined,
-                   .run = run_state::not_run,
-                   .detail = "upstreams ended while they ran the request"},
-        .retry_after = shared.crashes.refused_for(request.print, now)};
+    return {
+        .refusal = error_answer{
+            .status = 503,
+            .reason = {.code = errc::quarantined,
+                       .run = run_state::not_run,
+                       .detail = "upstreams ended while they ran the request"},
+            .retry_after = std::max(o.settings->retry_no_upstream,
+                                    shared.crashes.refused_for(print, now))}};
 }
 
 void request_run::start()
@@ -80,10 +91,13 @@
     for (auto const* const it : options_.services) {
         options_.shared->budget(*it).count_request(now);
     }
-    if (auto refusal =
-            quarantine_refusal(*options_.shared, *options_.request)) {
-        finish(std::move(*refusal));
-        return;
+    if (!options_.trial) {
+        auto admission = admit(options_);
+        if (admission.refusal) {
+            finish(std::move(*admission.refusal));
+            return;
+        }
+        options_.trial = admission.trial;
     }
     if (!enough_available(now)) {
         answer_failure(refusal_fault());
@@ -92,9 +106,9 @@
     remaining_hedges_ = static_cast<std::uint32_t>(
         std::ceil(options_.settings->max_hedged_share *
                   static_cast<double>(options_.services.size())));
-    bool const suspect =
-        options_.shared->crashes.verdict(options_.request->print, now) ==
-        crash_verdict::suspect;
+    bool const suspect = options_.trial || options_.shared->crashes.verdict(
+                                               options_.request->print, now) ==
+                                               crash_verdict::suspect;
     auto const attempts = options_.attempts.value_or(options_.route->attempts);
     fetches_.reserve(options_.services.size());
     for (auto const* const it : options_.services) {
@@ -106,6 +120,7 @@
                 .request = options_.request,
                 .attempts = suspect ? 1 : attempts,
                 .suspect = suspect,
+                .trial = options_.trial,
                 .end = options_.end,
                 .remaining_hedges = &remaining_hedges_,
                 .query = gather() ? &query_ : nullptr,
@@ -139,14 +154,21 @@
     first_step_.reset();
 }
 
-// Sends a query that may have ended upstreams to one shard only.
+// Sends a query that may have ended upstreams to one shard only, one with a
+// second upstream if there is any.
 void request_run::start_first_step(time_point now)
 {
-    std::size_t n = 0;
-    while (n + 1 < options_.services.size() &&
-           !options_.shared->fleet.available(*options_.services[n], now)) {
-        ++n;
-    }
+    auto const available = [&](std::string const* service) {
+        return std::min<std::size_t>(
+            2, options_.shared->fleet.available_upstreams(*service, now));
+    };
+    auto const& services = options_.services;
+    auto const n = static_cast<std::size_t>(
+        std::max_element(services.begin(), services.end(),
+                         [&](auto const* a, auto const* b) {
+                             return available(a) < available(b);
+                         }) -
+        services.begin());
     first_step_ = n;
     starting_ = true;
     fetches_[n]->start();
@@ -397,6 +419,11 @@
         return;
     }
     done_ = true;
+    if (options_.trial &&
+        std::none_of(fetches_.begin(), fetches_.end(),
+                     [](auto const& it) { return it->was_attempted(); })) {
+        options_.shared->crashes.return_trial(options_.request->print);
+    }
     for (auto const& it : fetches_) {
         it->stop();
     }
--- a/src/core/forward/request_run.hpp
+++ b/src/core/forward/request_run.hpp
@@ -13,9 +13,13 @@
 
 namespace snipemill {
 
-// The answer to a request that is refused because it ended upstreams.
-std::optional<error_answer> quarantine_refusal(fetch_context& shared,
-                                               forward_request const& request);
+// What is done with a request that may end its upstreams.
+struct crash_admission
+{
+    // The answer to a request that is refused because it ended upstreams.
+    std::optional<error_answer> refusal;
+    bool trial = false; // it is refused, but may be sent to one upstream once
+};
 
 struct request_run_settings
 {
@@ -59,6 +63,7 @@
         // Overrides the route's limit of upstreams of one service that may run
         // the request, when other hosts may have used a part of that limit.
         std::optional<std::uint32_t> attempts;
+        bool trial = false; // admitted as a trial of crash_guard
         time_point arrival{};
         // Deadline: the earlier of the caller's and the route's.
         time_point end{};
@@ -66,6 +71,9 @@
         std::function<void()> on_timer_changed; // next_timer() became earlier
     };
 
+    // Decides whether a request with these options may start.
+    static crash_admission admit(options const& o);
+
     explicit request_run(options o);
     request_run(request_run const&) = delete;
     request_run& operator=(request_run const&) = delete;
--- a/src/core/forward/service_fetch.cpp
+++ b/src/core/forward/service_fetch.cpp
@@ -105,24 +105,24 @@
     auto const now = shared.now();
     auto const relative = relative_latency(latency, now - start);
     std::visit(
-        overloaded{[&](upstream_answer const& answer) {
-                       shared.fleet.mark_responsive(upstream);
-                       if (has_run(answer)) {
-                           shared.crashes.on_answered(print);
-                       }
-                       shared.fleet.on_answer(upstream, answer.signals, start,
-                                              now);
-                       upstream.answered(start, now, relative);
-                   },
-                   [&](exchange_not_sent const&) { upstream.released(start); },
-                   [&](exchange_lost const& lost) {
-                       if (lost.closed_by_host) {
-                           upstream.timed_out(start, now, relative);
-                       }
-                       else {
-                           upstream.failed(start, now);
-                       }
-                   }},
+        overloaded{
+            [&](upstream_answer const& answer) {
+                shared.fleet.mark_responsive(upstream);
+                if (has_run(answer)) {
+                    shared.crashes.on_answered(print, is_success(answer), now);
+                }
+                shared.fleet.on_answer(upstream, answer.signals, start, now);
+                upstream.answered(start, now, relative);
+            },
+            [&](exchange_not_sent const&) { upstream.released(start); },
+            [&](exchange_lost const& lost) {
+                if (lost.closed_by_host) {
+                    upstream.timed_out(start, now, relative);
+                }
+                else {
+                    upstream.failed(start, now);
+                }
+            }},
         outcome);
 }
 
@@ -277,7 +277,8 @@
     if (held() ||
         now + options_.shared->settings.min_exchange_time >= options_.end ||
         attempt_count_ >= options_.shared->settings.max_attempts ||
-        connect_failures_ >= max_connect_failures) {
+        connect_failures_ >= max_connect_failures ||
+        (options_.trial && attempt_count_ > 0)) {
         return false;
     }
     return possible_runs_ == 0 ||
@@ -368,7 +369,8 @@
 {
     options_.shared->fleet.mark_responsive(*it.upstream);
     if (has_run(answer)) {
-        options_.shared->crashes.on_answered(options_.request->print);
+        options_.shared->crashes.on_answered(options_.request->print,
+                                             is_success(answer), now);
         if (options_.query) {
             options_.query->answered = true;
         }
--- a/src/core/forward/service_fetch.hpp
+++ b/src/core/forward/service_fetch.hpp
@@ -166,7 +166,10 @@
         // Limit of upstreams that may run the request.
         std::uint32_t attempts = 1;
         bool suspect = false; // of crash_guard
-        time_point end{};     // deadline of all exchanges
+        // A trial of crash_guard: is sent to one upstream only, also when that
+        // one refuses to run it.
+        bool trial = false;
+        time_point end{}; // deadline of all exchanges
         // Hedges that the whole request may still start; null: no limit.
         std::uint32_t* remaining_hedges = nullptr;
         // Of the query over many shards that this fetch belongs to, and the
--- a/src/core/forward/upstream_fleet.cpp
+++ b/src/core/forward/upstream_fleet.cpp
@@ -413,6 +413,20 @@
                        });
 }
 
+std::size_t upstream_fleet::available_upstreams(std::string const& service,
+                                                time_point now) const
+{
+    auto const entry = services_.find(service);
+    if (entry == services_.end()) {
+        return 0;
+    }
+    auto const& replicas = entry->second.replicas;
+    return static_cast<std::size_t>(
+        std::count_if(replicas.begin(), replicas.end(), [&](auto const& it) {
+            return usable(*it) && has_room(entry->second, *it, now);
+        }));
+}
+
 bool upstream_fleet::reachable(std::string const& service) const
 {
     auto const entry = services_.find(service);
--- a/src/core/forward/upstream_fleet.hpp
+++ b/src/core/forward/upstream_fleet.hpp
@@ -119,6 +119,9 @@
     upstream_ptr choose(choice_request const& request, choice_failure& why);
     // Whether a request for the service can be sent now.
     bool available(std::string const& service, time_point now) const;
+    // Number of upstreams of the service that a request can be sent to now.
+    std::size_t available_upstreams(std::string const& service,
+                                    time_point now) const;
     // Whether an upstream of the service is reachable, saturated or not.
     bool reachable(std::string const& service) const;
     // Whether the store lists an upstream of the service that takes requests,
--- a/src/ports/store_port.hpp
+++ b/src/ports/store_port.hpp
@@ -148,6 +148,10 @@
     virtual void remove_host(std::string name) = 0;
     // Creates an entry. The callback tells whether the store holds it.
     virtual void put_crash(crash_entry entry, std::function<void(bool)> f) = 0;
+    // Creates the entry of a trial. The callback tells whether this call has
+    // created it; without an answer it may have done so.
+    virtual void claim_trial(crash_entry entry,
+                             std::function<void(bool)> f) = 0;
     // Removes an entry, if there is one. The callback tells whether it is gone.
     virtual void remove_crash(crash_entry entry,
                               std::function<void(bool)> f) = 0;
--- a/tests/app/forward/forward_control_fixture.hpp
+++ b/tests/app/forward/forward_control_fixture.hpp
@@ -51,6 +51,11 @@
         put_crashes.push_back(entry);
         on_crash_change = std::move(f);
     }
+    void claim_trial(crash_entry entry, std::function<void(bool)> f) override
+    {
+        claimed_trials.push_back(entry);
+        on_claim = std::move(f);
+    }
     void remove_crash(crash_entry entry, std::function<void(bool)> f) override
     {
         removed_crashes.push_back(entry);
@@ -102,6 +107,8 @@
     std::function<void(bool)> on_put;
     std::vector<crash_entry> put_crashes;
     std::vector<crash_entry> removed_crashes;
+    std::vector<crash_entry> claimed_trials;
+    std::function<void(bool)> on_claim;
     std::function<void(bool)> on_crash_change;
     std::vector<rollout_entry> put_statuses;
     std::function<void(status_write, std::optional<rollout_entry>)>
--- a/tests/core/quarantine/quarantine_test.cpp
+++ b/tests/core/quarantine/quarantine_test.cpp
@@ -144,3 +144,16 @@
         CHECK(a.records() == b.records());
     }
 }
+
+// Guards against a harmless query that is refused for the whole life of its
+// record: a refused query is not sent, so that no answer can clear it.
+TEST(quarantine, a_refused_query_is_tried_again_before_its_record_expires)
+{
+    constexpr quarantine_settings settings{};
+    quarantine records(settings);
+    time_point const crashed{from_ms(100'000)};
+    records.on_crash(crashed, fingerprint(1), upstream_id(1));
+    records.on_crash(crashed, fingerprint(1), upstream_id(2));
+    CHECK(records.refused(crashed, fingerprint(1)));
+    CHECK_FALSE(records.refused(crashed + settings.expiry / 2, fingerprint(1)));
+}
--- a/tests/process/forward_fixture.hpp
+++ b/tests/process/forward_fixture.hpp
@@ -83,12 +83,34 @@
                ": " + std::to_string(time_left_ms) + "\r\n\r\n";
     }
 
+    // Sends a request to each host and returns the answers.
+    std::vector<std::string> ask_all(std::string const& path,
+                                     unsigned time_left_ms)
+    {
+        std::vector<std::shared_ptr<raw_peer>> peers;
+        for (auto const& it : fleet->hosts()) {
+            peers.push_back(raw_peer::connect(io, it->caller_port));
+            peers.back()->send(
+                request(path, "r" + std::to_string(next_id_++), time_left_ms));
+        }
+        run_until(io, [&] {
+            return std::all_of(peers.begin(), peers.end(), [](auto const& it) {
+                return it->has("\r\n\r\n");
+            });
+        });
+        std::vector<std::string> out(peers.size());
+        std::transform(peers.begin(), peers.end(), out.begin(),
+                       [](auto const& it) { return it->in; });
+        return out;
+    }
+
     boost::asio::io_context io;
     std::optional<soak::test_fleet> fleet;
     std::size_t memory_mb = 0; // of each host; 0: not stated
 
 private:
     std::filesystem::path folder_;
+    std::size_t next_id_ = 0; // of requests
 };
 
 } // namespace snipemill::test
--- a/tests/process/outdated_store_test.cpp
+++ b/tests/process/outdated_store_test.cpp
@@ -23,7 +23,6 @@
 TEST_GROUP(outdated_store)
 {
     forward_fixture f{"outdated-store"};
-    std::size_t next_id = 0;
 
     void start(std::size_t hosts)
     {
@@ -32,23 +31,12 @@
         f.fleet->store().set_outdated_by(outdated_by);
         f.run_for(outdated_by);
     }
-    // Sends a request to each host and returns the answers.
     std::vector<std::string> ask_all(std::string const& path)
     {
-        std::vector<std::shared_ptr<raw_peer>> peers;
-        for (auto const& it : f.fleet->hosts()) {
-            peers.push_back(raw_peer::connect(f.io, it->caller_port));
-            peers.back()->send(forward_fixture::request(
-                path, "r" + std::to_string(next_id++), time_left_ms));
-        }
-        CHECK(run_until(f.io, [&] {
-            return std::all_of(peers.begin(), peers.end(), [](auto const& it) {
-                return it->has("\r\n\r\n");
-            });
+        auto out = f.ask_all(path, time_left_ms);
+        CHECK(std::all_of(out.begin(), out.end(), [](std::string const& it) {
+            return it.find("\r\n\r\n") != std::string::npos;
         }));
-        std::vector<std::string> out(peers.size());
-        std::transform(peers.begin(), peers.end(), out.begin(),
-                       [](auto const& it) { return it->in; });
         return out;
     }
     void set_extra_route(bool exists)
