Count an upstream as cold when the evacuation of its data centre ends

Hosts know from its entry alone that an upstream is cold, and it writes that once in 1.2 s. When an evacuation is taken back they used the entry of before and sent the full share at once.

Change: from the end of an evacuation an upstream counts as cold for the interval of reports (store.report_interval_ms, from the platform's settings) and the shortest bound of the copy, within which its next report is known. Services without a stated rate are not affected.

Evidence: upstream_fleet.an_upstream_that_is_taken_back_counts_as_cold and .an_upstream_that_is_taken_back_warm_is_used_in_full fail while the change is left out (trial on a scratch copy).

--- a/src/adapters/settings/forward_settings.cpp
+++ b/src/adapters/settings/forward_settings.cpp
@@ -101,6 +101,7 @@
     in.map("store", [&](yaml_reader& store) {
         read_address(store, "address", out.store);
         read_seconds(store, "history_s", out.store_history);
+        store.read_ms("report_interval_ms", out.report_interval, ms_range);
         store.finish();
     });
     in.map("fleet", [&](yaml_reader& fleet) {
--- a/src/adapters/settings/forward_settings.hpp
+++ b/src/adapters/settings/forward_settings.hpp
@@ -56,6 +56,8 @@
     duration change_within = from_ms(3000); // manifests are in force
     duration evacuate_within = from_ms(5000);
     duration stop_within = from_ms(6000); // after SIGTERM the host is killed
+    // Interval at which upstreams report their state to the store.
+    duration report_interval = from_ms(1200);
 
     // Time within which every change in the store is in force at all hosts.
     duration shortest_bound() const
--- a/src/app/forward/forward_traffic.cpp
+++ b/src/app/forward/forward_traffic.cpp
@@ -86,7 +86,9 @@
     : io_(io), settings_(settings), names_(names), metrics_(metrics),
       memory_(memory), fleet_({.host = settings.name,
                                .data_centre = settings.data_centre,
-                               .expected_finish = settings.expected_finish},
+                               .expected_finish = settings.expected_finish,
+                               .report_delay = settings.report_interval +
+                                               settings.shortest_bound()},
                               std::random_device()()),
       links_(io, fleet_, names, {.memory = memory.upstreams}, core_now,
              [this](upstream_view const& it, bool reachable) {
--- a/src/core/forward/upstream_fleet.cpp
+++ b/src/core/forward/upstream_fleet.cpp
@@ -70,7 +70,16 @@
             it = add(record, now);
             out.added.push_back(it);
         }
-        it->evacuated = evacuated.contains(record.data_centre);
+        bool const taken_back =
+            std::exchange(it->evacuated,
+                          evacuated.contains(record.data_centre)) &&
+            !it->evacuated;
+        if (taken_back) {
+            // It may have turned cold meanwhile, and its entry may not show so
+            // yet.
+            it->cold_until =
+                std::max(it->cold_until, now + settings_.report_delay);
+        }
         it->role = role_of(record);
         upstreams.push_back(std::move(it));
     }
--- a/src/core/forward/upstream_fleet.hpp
+++ b/src/core/forward/upstream_fleet.hpp
@@ -44,6 +44,9 @@
     // meanwhile, from which the whole data centre is suspected.
     std::uint32_t suspect_upstreams = 3;
     std::uint32_t max_connections = 6; // from this host to one upstream
+    // Time within which the list shows that an upstream has turned cold: until
+    // its next report, and until this host has read that.
+    duration report_delay = from_ms(4200);
 };
 
 // How the hosts of a fleet share the capacity of upstreams.
--- a/tests/core/forward/upstream_fleet_test.cpp
+++ b/tests/core/forward/upstream_fleet_test.cpp
@@ -222,3 +222,46 @@
     STRCMP_EQUAL("a0", choose().c_str());
     STRCMP_EQUAL("a0", choose().c_str());
 }
+
+// An upstream turns cold while its data centre is evacuated, and its entry does
+// not show so yet when the evacuation is taken back. Guards against the full
+// share at once.
+TEST(upstream_fleet, an_upstream_that_is_taken_back_counts_as_cold)
+{
+    f.fleet.set_services({{.name = "s0", .cold_rate = 40}});
+    auto const sends = [&](duration time) {
+        std::size_t n = 0;
+        for (auto const end = f.now + time; f.now < end; f.now += from_ms(1)) {
+            n += choose() == "a0" ? 1U : 0U;
+        }
+        return n;
+    };
+    CHECK(sends(from_ms(1000)) > 100);
+    f.evacuated = {"a"};
+    f.update();
+    UNSIGNED_LONGS_EQUAL(0, sends(from_ms(1000)));
+    f.evacuated.clear();
+    f.update();
+    // This host's share of 40 requests/s among 8 hosts.
+    CHECK(sends(from_ms(1000)) <= 6);
+    // The report that shows the upstream cold arrives.
+    f.records[0].cold_left = from_ms(6000);
+    f.update();
+    CHECK(sends(from_ms(5000)) <= 26);
+    CHECK(sends(from_ms(1000)) <= 6);
+    f.now += from_ms(1000);
+    CHECK(sends(from_ms(1000)) > 100);
+}
+
+// Guards against an upstream that stays paced although it has never been cold.
+TEST(upstream_fleet, an_upstream_that_is_taken_back_warm_is_used_in_full)
+{
+    f.fleet.set_services({{.name = "s0", .cold_rate = 40}});
+    f.evacuated = {"a"};
+    f.update();
+    f.evacuated.clear();
+    f.update();
+    CHECK(f.upstream("a0")->cold(f.now));
+    f.now += f.fleet.settings().report_delay;
+    CHECK_FALSE(f.upstream("a0")->cold(f.now));
+}
