Lose the service before any upstream answers in lost_service

It asked the hosts after each loss when upstreams were back. Where the first loss had ended the request at fewer than three upstreams, for which 60 ms are short on a busy machine, they answered, and such an answer clears the request, as it should.

Change: lost requests take 700 ms, so that no upstream answers one before it ends, and the hosts are asked while no upstream is there. The checks and bounds of the test are the same.

--- a/tests/process/lost_service_test.cpp
+++ b/tests/process/lost_service_test.cpp
@@ -14,6 +14,8 @@
 
 constexpr unsigned time_left_ms = 900;
 constexpr milliseconds work{120};
+// Of requests that are lost: no upstream answers one before it ends.
+constexpr milliseconds long_work{700};
 
 // Within which every host knows of a change in the store, by the settings.
 constexpr seconds change_within{3};
@@ -51,6 +53,9 @@
     // Ends all upstreams while each of them runs the request.
     void lose_all(std::string const& path)
     {
+        for (auto* const it : upstreams()) {
+            it->server->set_fixed_work(long_work);
+        }
         std::vector<std::shared_ptr<raw_peer>> peers;
         for (int i = 0; i < 3; ++i) {
             for (auto const& it : f.fleet->hosts()) {
@@ -75,17 +80,22 @@
             it->server->set_fixed_work(work);
         }
     }
-    // Loses the service until all hosts refuse the request for that.
+    // Loses the service until all hosts refuse the request for that. Asks them
+    // while no upstream is there, since an answer would clear the request.
     bool lose_until_refused(std::string const& path)
     {
         for (int i = 0; i < 5; ++i) {
+            if (i > 0) {
+                bring_back();
+                f.run_for(seconds(1));
+            }
             lose_all(path);
-            bring_back();
             auto const answers = f.ask_all(path, time_left_ms);
             if (std::all_of(
                     answers.begin(), answers.end(), [](std::string const& it) {
                         return it.find("quarantined") != std::string::npos;
                     })) {
+                bring_back();
                 return true;
             }
         }
